--- /dev/null
+++ b/packages/cli/src/platform_port.ts
@@ -0,0 +1,60 @@
+/** The platform port on the client of @lacewingroad/platform. */
+
+import type {UpdateResult} from '@lacewingroad/core';
+import {PlatformClient} from '@lacewingroad/platform';
+import type {PlatformError} from '@lacewingroad/platform';
+import type {Runtime} from '@lacewingroad/runtime';
+import type {CliError} from './cli_error.js';
+import type {PlatformPort} from './ports.js';
+
+/** Longest wait for an answer of the platform, in milliseconds. */
+const PLATFORM_TIMEOUT_MS = 5_000;
+
+/** Opens the object API at a URL such as `http://10.0.0.5:7000`. */
+export function createPlatformPort(
+  runtime: Runtime,
+  url: string,
+): PlatformPort {
+  const client = new PlatformClient({runtime, url});
+  const getDeadline = () => runtime.now() + PLATFORM_TIMEOUT_MS;
+  return {
+    getObject: async key =>
+      (await client.getObject(key, getDeadline())).mapErr(toCliError),
+    listObjects: async prefix => {
+      const listed = await client.listObjects(0, getDeadline());
+      return listed
+        .map(list =>
+          list.changes.filter(
+            object => object.key.startsWith(prefix) && object.value !== null,
+          ),
+        )
+        .mapErr(toCliError);
+    },
+    putObject: async (key, baseVersion, value) => {
+      const res = await client.putObject(
+        key,
+        baseVersion,
+        value,
+        getDeadline(),
+      );
+      return res.ok ? {type: 'updated', ...res.val} : toUpdateResult(res.val);
+    },
+    close: () => client.close(),
+  };
+}
+
+function toUpdateResult(err: PlatformError): UpdateResult {
+  if (err.kind === 'conflict') {
+    return {type: 'conflict', version: err.standing.version};
+  }
+  return {type: err.kind === 'refused' ? 'refused' : 'unknown'};
+}
+
+function toCliError(err: PlatformError): CliError {
+  return {
+    kind: 'unreachable',
+    message:
+      `${err.message} If the platform is out, ask an entry host instead ` +
+      'with --host IP:PORT.',
+  };
+}
--- /dev/null
+++ b/packages/core/src/__tests__/unit/control/control_story.ts
@@ -0,0 +1,281 @@
+/** One entry host under a virtual clock, for tests of its control plane. */
+
+import type {Action, ActionOf} from '../../../engine/action.js';
+import type {Blackboard} from '../../../engine/blackboard.js';
+import type {Event, TimerKey, UpdateResult} from '../../../engine/event.js';
+import {createEntryEngine} from '../../../entry_engine.js';
+import type {GroupObject} from '../../../model/group.js';
+import type {HostObject} from '../../../model/host.js';
+import type {ObjectChange, PeerMessage} from '../../../model/message.js';
+
+export const GROUP = 'g';
+const DATA_CENTRES = ['a', 'b', 'c'];
+const STEP_MS = 25;
+
+type Update = ActionOf<'update_platform'>;
+
+function createHost(id: string): HostObject {
+  const dataCentre = id.charAt(0);
+  const address = `${id}:1`;
+  return {
+    id,
+    dataCentre,
+    state: 'live',
+    peerAddress: address,
+    callerAddress: address,
+    operatorAddress: address,
+  };
+}
+
+function listHost(id: string): ObjectChange {
+  return {key: `hosts/${id}`, version: 1, revision: 1, value: createHost(id)};
+}
+
+/** A group whose endpoints a, b, c are owned by a-1, b-1, c-1. */
+export function createGroup(part: Partial<GroupObject> = {}): GroupObject {
+  return {
+    id: GROUP,
+    term: 1,
+    primary: 'a',
+    fence: null,
+    starts: [{term: 1, index: 0}],
+    endpoints: DATA_CENTRES.map(id => ({
+      id,
+      dataCentre: id,
+      address: id,
+      port: 1,
+      slots: 3,
+      maxConnections: 24,
+      leaving: false,
+    })),
+    owners: {a: 'a-1', b: 'b-1', c: 'c-1'},
+    ...part,
+  };
+}
+
+/** A host that answers its own probes and reads as the story says. */
+export class ControlStory {
+  now: number;
+  readonly actions: Action[] = [];
+  /** Log index of each endpoint that answers probes. */
+  readonly indexes = new Map<string, number>([
+    ['a', 10],
+    ['b', 10],
+    ['c', 10],
+  ]);
+  isPlatformUp: boolean;
+  /** Age of the data that replicas state. */
+  dataAgeMs = 0;
+  /** The term that endpoints state, or null for that of the object. */
+  endpointTerm: number | null = null;
+  /** Hosts that promise whatever they are asked. */
+  promisers: readonly string[] = ['a-1', 'b-1', 'c-1'];
+  private readonly hosts: readonly string[];
+  private object: GroupObject;
+  private version = 1;
+  private timers: {at: number; timer: TimerKey}[] = [];
+  private readonly engine;
+
+  constructor(
+    readonly host: string,
+    part: {
+      group?: GroupObject;
+      hosts?: readonly string[];
+      /** Hosts of the settings; those of the platform unless it says so. */
+      seeds?: readonly string[];
+      startedAt?: number;
+      isPlatformUp?: boolean;
+    } = {},
+  ) {
+    this.hosts = part.hosts ?? ['a-1', 'b-1', 'c-1'];
+    this.now = part.startedAt ?? 0;
+    this.isPlatformUp = part.isPlatformUp ?? true;
+    this.object = part.group ?? createGroup();
+    this.engine = createEntryEngine({
+      host,
+      dataCentre: host.charAt(0),
+      incarnation: 'i',
+      startedAt: this.now,
+      seeds: (part.seeds ?? this.hosts).map(createHost),
+    });
+    this.feed({type: 'started'});
+  }
+
+  get board(): Blackboard {
+    return this.engine.getBoard();
+  }
+
+  /** The object that stands in the platform. */
+  get standing(): GroupObject {
+    return this.object;
+  }
+
+  feed(event: Event): void {
+    const ctx = {now: this.now, random: () => 0.5};
+    const actions = this.engine.dispatch(event, ctx);
+    this.actions.push(...actions);
+    actions.forEach(action => this.perform(action));
+  }
+
+  private perform(action: Action): void {
+    if (action.type === 'set_timer') {
+      this.timers.push({at: action.at, timer: action.timer});
+    }
+    if (action.type === 'send' && action.host === this.host) {
+      this.message(this.host, action.msg);
+    }
+    if (action.type === 'send' && action.msg.type === 'promise') {
+      this.answerPromise(action.host, action.msg);
+    }
+    if (action.type === 'read_platform') {
+      this.answerRead();
+    }
+    if (action.type === 'probe') {
+      this.answerProbe(action.endpoint);
+    }
+  }
+
+  private answerPromise(
+    host: string,
+    msg: Extract<PeerMessage, {type: 'promise'}>,
+  ): void {
+    if (this.promisers.includes(host)) {
+      this.message(host, {...msg, type: 'promised', granted: true});
+    }
+  }
+
+  private answerRead(): void {
+    const sentAt = this.now;
+    if (!this.isPlatformUp) {
+      this.feed({type: 'platform_read_failed', sentAt});
+      return;
+    }
+    const {version, object: value} = this;
+    const change = {key: `groups/${GROUP}`, version, revision: version, value};
+    this.feed({
+      type: 'platform_read',
+      sentAt,
+      revision: version,
+      changes: [...this.hosts.map(listHost), change],
+    });
+  }
+
+  private answerProbe(endpoint: string): void {
+    const index = this.indexes.get(endpoint);
+    const sentAt = this.now;
+    if (index === undefined) {
+      this.feed({
+        type: 'probed',
+        endpoint,
+        sentAt,
+        status: null,
+        fault: 'refused',
+      });
+      return;
+    }
+    const {term, primary} = this.object;
+    const isPrimary = endpoint === primary;
+    this.feed({
+      type: 'probed',
+      endpoint,
+      sentAt,
+      fault: null,
+      status: {
+        role: isPrimary ? 'primary' : 'replica',
+        position: {term: this.endpointTerm ?? term, index},
+        dataAgeMs: isPrimary ? 0 : this.dataAgeMs,
+        follows: isPrimary ? null : primary,
+      },
+    });
+  }
+
+  message(host: string, msg: PeerMessage): void {
+    this.feed({type: 'peer_message', host, generation: 1, msg});
+  }
+
+  /** Changes the object in the platform, as another host would. */
+  change(part: Partial<GroupObject>): void {
+    this.object = {...this.object, ...part};
+    this.version += 1;
+  }
+
+  advance(ms: number): void {
+    const until = this.now + ms;
+    while (this.now < until) {
+      this.now = Math.min(until, this.now + STEP_MS);
+      const due = this.timers.filter(({at}) => at <= this.now);
+      this.timers = this.timers.filter(({at}) => at > this.now);
+      due.forEach(({timer}) => this.feed({type: 'timer', timer}));
+    }
+  }
+
+  /** Updates of the group that this host sent. */
+  updates(): readonly Update[] {
+    return this.actions.filter(action => action.type === 'update_platform');
+  }
+
+  /** Lets the last update take effect, or not, and answers it. */
+  answerUpdate(result: UpdateResult['type'], hasEffect: boolean): void {
+    const {key, attempt, baseVersion, value} = this.updates().at(-1)!;
+    if (hasEffect && baseVersion === this.version) {
+      this.change(value as GroupObject);
+    }
+    const {version} = this;
+    const results: Readonly<Record<UpdateResult['type'], UpdateResult>> = {
+      updated: {type: 'updated', version, revision: version},
+      conflict: {type: 'conflict', version},
+      refused: {type: 'refused'},
+      unknown: {type: 'unknown'},
+    };
+    this.feed({
+      type: 'platform_updated',
+      key,
+      attempt,
+      baseVersion,
+      result: results[result],
+    });
+  }
+
+  /** Messages that this host sent, to all others or to one. */
+  sent<T extends PeerMessage['type']>(
+    type: T,
+    to?: string,
+  ): readonly Extract<PeerMessage, {type: T}>[] {
+    return this.actions
+      .filter(action => action.type === 'send')
+      .filter(({host}) => to === undefined || host === to)
+      .map(action => action.msg)
+      .filter(
+        (msg): msg is Extract<PeerMessage, {type: T}> => msg.type === type,
+      );
+  }
+
+  /** Answers the last inquiry as a host that does not reach the primary. */
+  answerSuspect(
+    host: string,
+    endpoint: string | null,
+    isReportNew = true,
+  ): void {
+    const {ask, term} = this.sent('suspect').at(-1)!;
+    const index = this.indexes.get(endpoint ?? '') ?? 0;
+    const report =
+      endpoint === null
+        ? null
+        : {
+            endpoint,
+            role: 'replica' as const,
+            position: {term, index},
+            dataAgeMs: 0,
+            ageMs: 0,
+          };
+    this.message(host, {
+      type: 'suspected',
+      ask,
+      group: GROUP,
+      term,
+      reachesPrimary: false,
+      report,
+      isReportNew,
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/control/probes.ts
@@ -0,0 +1,271 @@
+/**
+ * Probes: the owner of an endpoint asks it for its status; the owners of
+ * replicas also ask the primary, so that several data centres observe it.
+ */
+
+import {
+  LAGGING_REPLICA_MS,
+  PRIMARY_PROBE_INTERVAL_MS,
+  PROBE_INTERVAL_MS,
+  PROBE_TIMEOUT_MS,
+  REPLICA_PROBE_INTERVAL_MS,
+} from './constants.js';
+import {readEndpointView, readGroup, readOwnedEndpoint} from './facts.js';
+import type {EndpointView} from './state.js';
+import {indexEndpoints} from './view_index.js';
+import type {Blackboard} from '../engine/blackboard.js';
+import {chain, unchanged} from '../engine/engine.js';
+import type {Change, Context, Feature, Handler} from '../engine/engine.js';
+import {findEndpoint} from '../model/group.js';
+import type {GroupEndpoint, GroupObject} from '../model/group.js';
+import type {EndpointId, Instant} from '../model/ids.js';
+import type {EndpointReport} from '../model/message.js';
+
+/** Replaces parts of what is known of an endpoint. */
+export function setEndpointView(
+  board: Blackboard,
+  endpoint: EndpointId,
+  parts: Partial<EndpointView>,
+): Blackboard {
+  const view = {...readEndpointView(board, endpoint), ...parts};
+  return {
+    ...board,
+    endpoints: {
+      ...board.endpoints,
+      views: board.endpoints.views.set(endpoint, view),
+    },
+  };
+}
+
+/** Notes what another host reports of an endpoint that it owns. */
+export function noteReport(
+  board: Blackboard,
+  report: EndpointReport,
+  now: Instant,
+): Blackboard {
+  const {endpoint, role, position, dataAgeMs, ageMs} = report;
+  if (board.endpoints.owned.has(endpoint)) {
+    return board;
+  }
+  const view = readEndpointView(board, endpoint);
+  const statusAt = now - ageMs;
+  if (view.statusAt !== null && view.statusAt >= statusAt) {
+    return board;
+  }
+  const follows = view.status?.follows ?? null;
+  return setEndpointView(board, endpoint, {
+    status: {role, position, dataAgeMs, follows},
+    statusAt,
+    dataAsOf: now - dataAgeMs,
+  });
+}
+
+/** Returns the groups of which this host owns an endpoint. */
+export function listOwnGroups(board: Blackboard): readonly GroupObject[] {
+  return [...new Set(board.endpoints.owned.values())]
+    .map(id => readGroup(board, id))
+    .filter(group => group !== null);
+}
+
+/** Tells whether a replica answers, in its role and term, and does not lag. */
+function isFollowing(
+  board: Blackboard,
+  group: GroupObject,
+  replica: EndpointId,
+): boolean {
+  const {status, failingSince} = readEndpointView(board, replica);
+  if (status === null || failingSince !== null) {
+    return false;
+  }
+  return (
+    status.role === 'replica' &&
+    status.position.term === group.term &&
+    status.dataAgeMs <= LAGGING_REPLICA_MS
+  );
+}
+
+/** Returns how often this host probes an endpoint that it owns. */
+function readOwnInterval(board: Blackboard, endpoint: EndpointId): number {
+  const group = readOwnedEndpoint(board, endpoint)?.group;
+  if (group === undefined || group.primary === endpoint) {
+    return PROBE_INTERVAL_MS;
+  }
+  return isFollowing(board, group, endpoint)
+    ? REPLICA_PROBE_INTERVAL_MS
+    : PROBE_INTERVAL_MS;
+}
+
+/** Returns how often this host probes an endpoint, or null for never. */
+function readProbeInterval(
+  board: Blackboard,
+  endpoint: EndpointId,
+): number | null {
+  if (board.endpoints.owned.has(endpoint)) {
+    return readOwnInterval(board, endpoint);
+  }
+  const isPrimaryOfOwnGroup = listOwnGroups(board).some(
+    group => group.primary === endpoint,
+  );
+  return isPrimaryOfOwnGroup ? PRIMARY_PROBE_INTERVAL_MS : null;
+}
+
+function locateEndpoint(
+  board: Blackboard,
+  endpoint: EndpointId,
+): GroupEndpoint | null {
+  const id =
+    board.endpoints.owned.get(endpoint) ??
+    indexEndpoints(board.view.groups).groupOf.get(endpoint);
+  const group = id === undefined ? null : readGroup(board, id);
+  return group === null ? null : findEndpoint(group, endpoint);
+}
+
+/** Sends a probe unless one is in progress. */
+export function probeNow(
+  board: Blackboard,
+  endpoint: EndpointId,
+  now: Instant,
+): Change {
+  const {probeDeadline} = readEndpointView(board, endpoint);
+  const placed = locateEndpoint(board, endpoint);
+  if (placed === null || (probeDeadline !== null && now <= probeDeadline)) {
+    return unchanged(board);
+  }
+  const deadline = now + PROBE_TIMEOUT_MS;
+  const next = setEndpointView(board, endpoint, {probeDeadline: deadline});
+  return unchanged(next, {
+    type: 'probe',
+    endpoint,
+    address: placed.address,
+    port: placed.port,
+    deadline,
+  });
+}
+
+/** Starts the probes of an endpoint if none is due. */
+function startProbing(
+  board: Blackboard,
+  endpoint: EndpointId,
+  now: Instant,
+): Change {
+  const {nextProbeAt, probeDeadline} = readEndpointView(board, endpoint);
+  const isDue = nextProbeAt !== null && now <= nextProbeAt;
+  const isRunning = probeDeadline !== null && now <= probeDeadline;
+  return isDue || isRunning ? unchanged(board) : probeNow(board, endpoint, now);
+}
+
+function startWantedProbes(board: Blackboard, now: Instant): Change {
+  const wanted = new Set<EndpointId>(board.endpoints.owned.keys());
+  listOwnGroups(board).forEach(group => wanted.add(group.primary));
+  const steps = [...wanted].map(
+    endpoint => (current: Blackboard) => startProbing(current, endpoint, now),
+  );
+  return chain(board, ...steps);
+}
+
+const handleOwnershipChanged = (
+  board: Blackboard,
+  _event: unknown,
+  ctx: Context,
+): Change => startWantedProbes(board, ctx.now);
+
+const handleTimer: Handler<'timer'> = (board, event, ctx) => {
+  const {timer} = event;
+  if (timer.name !== 'probe') {
+    return unchanged(board);
+  }
+  const {nextProbeAt} = readEndpointView(board, timer.endpoint);
+  if (nextProbeAt === null || ctx.now < nextProbeAt) {
+    return unchanged(board);
+  }
+  return readProbeInterval(board, timer.endpoint) === null
+    ? unchanged(setEndpointView(board, timer.endpoint, {nextProbeAt: null}))
+    : probeNow(board, timer.endpoint, ctx.now);
+};
+
+const handleProbeWanted: Handler<'probe_wanted'> = (board, event, ctx) =>
+  probeNow(board, event.endpoint, ctx.now);
+
+/**
+ * Probes an endpoint that ended connections of its pool, without waiting for
+ * the next probe. Further probes of one that fails come by timer, so that two
+ * refusals in a row are some time apart.
+ */
+const handleConnClosed: Handler<'conn_closed'> = (board, event, ctx) => {
+  const {endpoint, fault} = event;
+  const {failingSince} = readEndpointView(board, endpoint);
+  const isGone = fault === 'reset' || fault === 'refused';
+  return isGone && failingSince === null
+    ? probeNow(board, endpoint, ctx.now)
+    : unchanged(board);
+};
+
+/** Returns what a probe's answer adds to the view of an endpoint. */
+function readProbeResult(
+  view: EndpointView,
+  event: Parameters<Handler<'probed'>>[1],
+  now: Instant,
+): Partial<EndpointView> {
+  const {status, sentAt} = event;
+  if (status === null) {
+    const isRefused = event.fault === 'refused';
+    return {
+      lastFault: event.fault,
+      failingSince: view.failingSince ?? now,
+      refusals: isRefused ? view.refusals + 1 : view.refusals,
+    };
+  }
+  return {
+    status,
+    statusAt: sentAt,
+    dataAsOf: status.role === 'primary' ? sentAt : sentAt - status.dataAgeMs,
+    lastFault: null,
+    failingSince: null,
+    refusals: 0,
+  };
+}
+
+const handleProbed: Handler<'probed'> = (board, event, ctx) => {
+  const {endpoint, sentAt} = event;
+  const view = readEndpointView(board, endpoint);
+  const noted = setEndpointView(board, endpoint, {
+    ...readProbeResult(view, event, ctx.now),
+    probedAt: ctx.now,
+    probeDeadline: null,
+  });
+  const interval = readProbeInterval(noted, endpoint);
+  const nextProbeAt =
+    interval === null ? null : Math.max(ctx.now + 1, sentAt + interval);
+  const next = setEndpointView(noted, endpoint, {nextProbeAt});
+  const change = unchanged(next, {
+    type: 'emit',
+    event: {type: 'endpoint_observed', endpoint},
+  });
+  if (nextProbeAt === null) {
+    return change;
+  }
+  return {
+    board: next,
+    actions: [
+      ...change.actions,
+      {
+        type: 'set_timer',
+        at: nextProbeAt,
+        timer: {name: 'probe', endpoint},
+      },
+    ],
+  };
+};
+
+/** Keeps what is known of endpoints up to date. */
+export const probesFeature: Feature = {
+  name: 'probes',
+  handlers: {
+    ownership_changed: handleOwnershipChanged,
+    group_changed: handleOwnershipChanged,
+    timer: handleTimer,
+    probe_wanted: handleProbeWanted,
+    probed: handleProbed,
+    conn_closed: handleConnClosed,
+  },
+};
--- /dev/null
+++ b/packages/core/src/entry/dispatch.ts
@@ -0,0 +1,207 @@
+/** Sends requests to pool owners, and lets them wait where they must. */
+
+import {MAX_ATTEMPTS, RETRY_MAX_MS, RETRY_MIN_MS} from './constants.js';
+import {readCaller} from './callers.js';
+import {endRequest} from './ending.js';
+import {replyLostWrite} from './lost_write.js';
+import {countOutstanding, putRequest, removeRequest} from './requests.js';
+import {chooseRoute, isSessionWriteLost} from './route.js';
+import type {Route} from './route.js';
+import type {Caller, Request} from './state.js';
+import {readGroup} from '../control/facts.js';
+import type {Blackboard} from '../engine/blackboard.js';
+import {unchanged} from '../engine/engine.js';
+import type {Change, Context} from '../engine/engine.js';
+import type {Action} from '../engine/action.js';
+import type {TxId} from '../model/ids.js';
+import type {RunMessage} from '../model/message.js';
+import type {NotRunReason} from '../model/outcome.js';
+
+/** Lets a request wait, longer each time, and sends it again then. */
+export function parkRequest(
+  board: Blackboard,
+  request: Request,
+  reason: NotRunReason,
+  ctx: Context,
+): Change {
+  const wait = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** request.waits);
+  const retryAt = ctx.now + wait * (0.5 + ctx.random() / 2);
+  if (retryAt >= request.deadline || request.attempt >= MAX_ATTEMPTS) {
+    return endRequest(board, request, {type: 'not_run', reason}, ctx);
+  }
+  const parked: Request = {
+    ...request,
+    sentTo: null,
+    retryAt,
+    waits: request.waits + 1,
+  };
+  return unchanged(
+    putRequest(board, parked),
+    {
+      type: 'set_timer',
+      at: retryAt,
+      timer: {name: 'request_retry', request: request.id},
+    },
+    {
+      type: 'record',
+      level: 'debug',
+      event: 'request_waits',
+      fields: {request: request.id, group: request.group, reason},
+    },
+  );
+}
+
+/** Returns the transaction that a request belongs to, or null. */
+function readTx(caller: Caller, request: Request): TxId | null {
+  if (request.mode === 'begin') {
+    return request.id;
+  }
+  return caller.tx?.id ?? null;
+}
+
+function createRunMessage(
+  caller: Caller,
+  request: Request,
+  route: Route,
+  now: number,
+): RunMessage {
+  const {row} = request;
+  return {
+    type: 'run',
+    request: request.id,
+    attempt: request.attempt,
+    group: request.group,
+    endpoint: route.endpoint,
+    term: route.term,
+    mode: request.mode,
+    tx: readTx(caller, request),
+    statement: request.statement,
+    isWrite: request.isWrite,
+    service: request.service,
+    kind: request.kind,
+    rank: row.rank,
+    worth: row.worth,
+    connectionLimit: row.connectionLimit,
+    floorPercent: row.floorPercent,
+    callerKey: caller.session,
+    targetLeftMs: request.targetAt - now,
+    timeoutLeftMs: request.deadline - now,
+    minPosition: route.minPosition,
+    maxStalenessMs: route.maxStalenessMs,
+    ack: row.ack,
+    key: request.key,
+  };
+}
+
+/** Returns where a request inside a transaction goes: where it was opened. */
+function createTxRoute(caller: Caller, request: Request): Route | null {
+  if (caller.tx === null || request.mode === 'begin') {
+    return null;
+  }
+  const {owner, endpoint, term} = caller.tx;
+  return {
+    host: owner,
+    endpoint,
+    term,
+    minPosition: null,
+    maxStalenessMs: null,
+    isReplica: false,
+  };
+}
+
+function findRoute(
+  board: Blackboard,
+  caller: Caller,
+  request: Request,
+  ctx: Context,
+): Route | null {
+  if (request.mode !== 'autocommit' && request.mode !== 'begin') {
+    return createTxRoute(caller, request);
+  }
+  const group = readGroup(board, request.group);
+  if (group === null || (request.isWrite && group.fence !== null)) {
+    return null;
+  }
+  return chooseRoute(board, group, caller, request, ctx);
+}
+
+/** Tells whether a request would hide that a write of its session was lost. */
+function isLossUntold(
+  board: Blackboard,
+  caller: Caller,
+  request: Request,
+): boolean {
+  const group = readGroup(board, request.group);
+  const isOutside = request.mode === 'autocommit' || request.mode === 'begin';
+  return isOutside && group !== null && isSessionWriteLost(group, caller);
+}
+
+/** Ends a request instead of running it in a term that lost a write. */
+function endForLoss(
+  board: Blackboard,
+  caller: Caller,
+  request: Request,
+  ctx: Context,
+): Change {
+  if (request.isWrite && request.mayHaveRun) {
+    const outcome = {type: 'unknown', reason: 'replaced_primary'} as const;
+    return endRequest(board, request, outcome, ctx);
+  }
+  const group = readGroup(board, request.group)!;
+  const removed = removeRequest(board, request.id);
+  return replyLostWrite(removed, caller, group, ctx.now);
+}
+
+/** Sends a request to where it can run now, or lets it wait. */
+export function sendRequest(
+  board: Blackboard,
+  request: Request,
+  ctx: Context,
+): Change {
+  const caller = readCaller(board, request.caller);
+  if (caller === null) {
+    return unchanged(board);
+  }
+  if (isLossUntold(board, caller, request)) {
+    return endForLoss(board, caller, request, ctx);
+  }
+  const route = findRoute(board, caller, request, ctx);
+  if (route === null) {
+    return parkRequest(board, request, 'no_primary', ctx);
+  }
+  const sent: Request = {
+    ...request,
+    attempt: request.attempt + 1,
+    sentTo: {host: route.host, endpoint: route.endpoint, term: route.term},
+    retryAt: null,
+  };
+  const next = countOutstanding(
+    putRequest(board, sent),
+    route.endpoint,
+    sent.row.rank,
+    1,
+  );
+  const msg = createRunMessage(caller, sent, route, ctx.now);
+  const send: Action = {type: 'send', host: route.host, msg};
+  return unchanged(next, send);
+}
+
+/** Sends the waiting requests of a group at once. */
+export function wakeGroup(
+  board: Blackboard,
+  group: string,
+  ctx: Context,
+): Change {
+  const waiting = board.requests.byId
+    .valueSeq()
+    .filter(request => request.group === group && request.retryAt !== null)
+    .toArray();
+  let next = board;
+  const actions: Action[] = [];
+  for (const request of waiting) {
+    const change = sendRequest(next, {...request, waits: 0}, ctx);
+    next = change.board;
+    actions.push(...change.actions);
+  }
+  return {board: next, actions};
+}
--- /dev/null
+++ b/packages/core/src/entry/error.ts
@@ -0,0 +1,88 @@
+/** The errors that lacewingroad itself gives to callers. */
+
+import type {
+  NotRunReason,
+  Outcome,
+  SqlError,
+  UnknownReason,
+} from '../model/outcome.js';
+
+/** The kinds of error, with their codes. */
+const ERROR_CODES = {
+  not_run: {errno: 9101, sqlState: 'LW001'},
+  unknown: {errno: 9102, sqlState: '08007'},
+  lost_write: {errno: 9103, sqlState: 'LW003'},
+  not_supported: {errno: 9104, sqlState: 'LW004'},
+  rolled_back: {errno: 9105, sqlState: 'LW005'},
+  not_valid: {errno: 9106, sqlState: 'LW006'},
+} as const;
+
+/** A kind of error. */
+export type ErrorKind = keyof typeof ERROR_CODES;
+
+/** Returns an error of a kind; the message names the remedy. */
+export function createError(kind: ErrorKind, message: string): SqlError {
+  return {...ERROR_CODES[kind], message: `lacewingroad: ${message}`};
+}
+
+const NOT_RUN_MESSAGES: Readonly<Record<NotRunReason, string>> = {
+  not_owner: 'the owner of the endpoint is changing',
+  not_primary: 'the primary is changing',
+  no_evidence: 'the primary cannot be confirmed as current',
+  fenced: 'a change of primary is in progress',
+  not_reached: 'no endpoint has the data that the session needs',
+  endpoint_down: 'the endpoint does not answer',
+  endpoint_leaving: 'the endpoint is leaving',
+  queue_full: 'too much work of this rank is waiting',
+  too_late: 'it could not be run within its timeout',
+  draining: 'the entry host is stopping',
+  tx_gone: 'the transaction has ended',
+  unreachable: 'the entry host that owns the endpoint is not reachable',
+  no_primary: 'the group has no primary',
+};
+
+const UNKNOWN_MESSAGES: Readonly<Record<UnknownReason, string>> = {
+  connection_lost: 'the connection to the endpoint was lost',
+  timed_out: 'no answer came within its timeout',
+  evidence_expired: 'the primary could not be confirmed as current',
+  replica_not_reached: 'no replica confirmed the write within its timeout',
+  owner_lost: 'the entry host that ran it was lost',
+  replaced_primary: 'the primary was replaced while it ran',
+  session_not_kept: 'no host that keeps the session confirmed its write',
+};
+
+type Refusal = Exclude<Outcome, {readonly type: 'done'}>;
+
+type RefusalHandlers = {
+  readonly [T in Refusal['type']]: (
+    outcome: Extract<Refusal, {type: T}>,
+  ) => SqlError;
+};
+
+const REFUSALS: RefusalHandlers = {
+  failed: outcome => outcome.error,
+  not_run: outcome =>
+    createError(
+      'not_run',
+      `not run: ${NOT_RUN_MESSAGES[outcome.reason]}. Nothing took effect; send it again.`,
+    ),
+  unknown: outcome =>
+    createError(
+      'unknown',
+      `outcome unknown: ${UNKNOWN_MESSAGES[outcome.reason]}. It may have taken effect; look before you send it again, or send it again with its request key.`,
+    ),
+};
+
+/** Returns the error that tells a caller of an outcome. */
+export function createOutcomeError(outcome: Refusal): SqlError {
+  const create = REFUSALS[outcome.type] as (refusal: Refusal) => SqlError;
+  return create(outcome);
+}
+
+/** Returns the error for a transaction that can no longer commit. */
+export function createRolledBackError(cause: string): SqlError {
+  return createError(
+    'rolled_back',
+    `the transaction was rolled back: ${cause}. None of it took effect; send it again from its start.`,
+  );
+}
--- /dev/null
+++ b/packages/core/src/owner/answers.ts
@@ -0,0 +1,71 @@
+/** Answers jobs: tells the asking host what became of its request. */
+
+import {readReport} from '../control/facts.js';
+import type {EndpointId, RequestId} from '../model/ids.js';
+import type {Outcome} from '../model/outcome.js';
+import {dropJob, findJob} from './job_set.js';
+import {getPool, record, setPool} from './turn.js';
+import type {Turn} from './turn.js';
+import type {Job} from './state.js';
+
+/** Returns the level of the time line at which an outcome is recorded. */
+function readLevel(outcome: Outcome): 'debug' | 'info' {
+  return outcome.type === 'unknown' ? 'info' : 'debug';
+}
+
+/** Returns the reason of an outcome, or null where it has none. */
+function readReason(outcome: Outcome): string | number | null {
+  if (outcome.type === 'failed') {
+    return outcome.error.errno;
+  }
+  return outcome.type === 'done' ? null : outcome.reason;
+}
+
+/** Sends an outcome to the host that asked. */
+export function answerJob(
+  turn: Turn,
+  endpoint: EndpointId,
+  job: Pick<Job, 'msg' | 'host'>,
+  outcome: Outcome,
+): void {
+  const {request, attempt, group, kind, rank, mode} = job.msg;
+  turn.act({
+    type: 'send',
+    host: job.host,
+    msg: {
+      type: 'ran',
+      request,
+      attempt,
+      outcome,
+      report: readReport(turn.board(), endpoint, turn.now),
+    },
+  });
+  const event = outcome.type === 'not_run' ? 'job_refused' : 'job_done';
+  record(turn, readLevel(outcome), event, {
+    request,
+    attempt,
+    endpoint,
+    group,
+    kind,
+    rank,
+    mode,
+    outcome: outcome.type,
+    reason: readReason(outcome),
+  });
+}
+
+/** Removes a job that uses no connection and answers it. */
+export function endJob(
+  turn: Turn,
+  endpoint: EndpointId,
+  request: RequestId,
+  outcome: Outcome,
+): void {
+  const pool = getPool(turn, endpoint);
+  const job = pool === null ? undefined : findJob(pool.jobs, request);
+  if (pool === null || job === undefined) {
+    return;
+  }
+  setPool(turn, endpoint, {jobs: dropJob(pool.jobs, request)});
+  answerJob(turn, endpoint, job, outcome);
+}
--- /dev/null
+++ b/packages/core/src/owner/checks.ts
@@ -0,0 +1,172 @@
+/** Checks that decide whether a pool may run or acknowledge a request. */
+
+import type {GroupObject} from '../model/group.js';
+import type {RunMessage} from '../model/message.js';
+import type {NotRunReason, UnknownReason} from '../model/outcome.js';
+import type {LogPosition} from '../model/position.js';
+import {hasReached, readPositionFate} from '../model/position.js';
+import {
+  hasWriteEvidence,
+  isWriteHeld,
+  mayAcknowledge,
+  readCurrentAsOf,
+} from '../control/facts.js';
+import {getEndpoint, getGroup} from './turn.js';
+import type {Turn} from './turn.js';
+import type {Pool} from './state.js';
+
+/**
+ * Tells whether a request needs the write evidence of the primary. A read
+ * outside of a transaction needs it when it names a term.
+ */
+function needsEvidence(pool: Pool, msg: RunMessage): boolean {
+  if (msg.mode === 'rollback') {
+    return false;
+  }
+  if (msg.mode === 'commit') {
+    return msg.tx !== null && (pool.txs.get(msg.tx)?.hasWritten ?? false);
+  }
+  return msg.isWrite || (msg.term !== null && msg.mode !== 'in_tx');
+}
+
+/** Returns why the endpoint is not the primary of the request's term. */
+function findTermFault(
+  group: GroupObject | null,
+  pool: Pool,
+  term: number | null,
+): NotRunReason | null {
+  if (group === null || term === null) {
+    return 'not_primary';
+  }
+  return group.term === term && group.primary === pool.endpoint
+    ? null
+    : 'not_primary';
+}
+
+/**
+ * Tells whether new writes wait for a planned change. What has begun goes on,
+ * also where this host has just handed the primary over.
+ */
+function findHold(
+  turn: Turn,
+  pool: Pool,
+  msg: RunMessage,
+  term: number,
+): NotRunReason | null {
+  const board = turn.board();
+  if (msg.isWrite && isWriteHeld(board, pool.group, turn.now)) {
+    return 'fenced';
+  }
+  return hasWriteEvidence(board, pool.group, term, turn.now)
+    ? null
+    : 'no_evidence';
+}
+
+/** Tells whether a request begins something at the endpoint. */
+function isBeginning(msg: RunMessage): boolean {
+  return msg.mode === 'autocommit' || msg.mode === 'begin';
+}
+
+/** Returns why a request may not begin by its evidence, or null. */
+export function findStartFault(
+  turn: Turn,
+  pool: Pool,
+  msg: RunMessage,
+): NotRunReason | null {
+  const fault = findEvidenceFault(turn, pool, msg);
+  if (fault !== null || !needsEvidence(pool, msg) || !isBeginning(msg)) {
+    return fault;
+  }
+  return findHold(turn, pool, msg, msg.term!);
+}
+
+/** Returns why a request may not go on by its evidence, or null. */
+export function findEvidenceFault(
+  turn: Turn,
+  pool: Pool,
+  msg: RunMessage,
+): NotRunReason | null {
+  if (!needsEvidence(pool, msg)) {
+    return null;
+  }
+  const group = getGroup(turn, pool);
+  const fault = findTermFault(group, pool, msg.term);
+  if (fault !== null) {
+    return fault;
+  }
+  const term = msg.term!;
+  if (term <= pool.stoppedTerm || (group!.fence?.term ?? 0) >= term) {
+    return 'fenced';
+  }
+  return mayAcknowledge(turn.board(), pool.group, term, turn.now)
+    ? null
+    : 'no_evidence';
+}
+
+/** Returns why an answer may not be acknowledged, or null. */
+export function findAckFault(
+  turn: Turn,
+  pool: Pool,
+  msg: RunMessage,
+): UnknownReason | null {
+  const fault = findEvidenceFault(turn, pool, msg);
+  if (fault === null) {
+    return null;
+  }
+  return fault === 'not_primary' ? 'replaced_primary' : 'evidence_expired';
+}
+
+/** Tells whether the endpoint has provably reached a position. */
+export function isPositionReached(
+  turn: Turn,
+  pool: Pool,
+  position: LogPosition,
+): boolean {
+  const group = getGroup(turn, pool);
+  const status = turn.board().endpoints.views.get(pool.endpoint)?.status;
+  if (group === null || !status) {
+    return false;
+  }
+  const isPrimary =
+    group.primary === pool.endpoint &&
+    status.role === 'primary' &&
+    status.position.term === group.term;
+  if (isPrimary) {
+    const fate = readPositionFate(position, group.term, group.starts);
+    return position.term <= group.term && fate !== 'lost';
+  }
+  return hasReached(status.position, position, group.starts);
+}
+
+/** Tells whether the endpoint's data are young enough for a read. */
+function isFreshEnough(
+  turn: Turn,
+  pool: Pool,
+  maxStalenessMs: number | null,
+): boolean {
+  if (maxStalenessMs === null) {
+    return true;
+  }
+  const view = turn.board().endpoints.views.get(pool.endpoint);
+  const asOf = view?.dataAsOf ?? null;
+  const currentAsOf = readCurrentAsOf(turn.board(), pool.group);
+  if (asOf === null || currentAsOf === null) {
+    return false;
+  }
+  return Math.min(asOf, currentAsOf) >= turn.now - maxStalenessMs;
+}
+
+/** Tells whether a read's demands on the endpoint's data are met now. */
+export function isReadable(turn: Turn, pool: Pool, msg: RunMessage): boolean {
+  if (msg.minPosition !== null) {
+    if (!isPositionReached(turn, pool, msg.minPosition)) {
+      return false;
+    }
+  }
+  return isFreshEnough(turn, pool, msg.maxStalenessMs);
+}
+
+/** Tells whether the endpoint is to receive no new work. */
+export function isLeaving(turn: Turn, pool: Pool): boolean {
+  return getEndpoint(turn, pool)?.leaving ?? true;
+}
--- /dev/null
+++ b/packages/daemon/src/__tests__/integration/client_faults.test.ts
@@ -0,0 +1,121 @@
+/** Callers that misbehave never harm another caller. */
+
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+import {once} from 'node:events';
+import {afterAll, afterEach, beforeAll, describe, expect, it} from 'vitest';
+import type {Connection} from 'mysql2/promise';
+import {LINKS} from '@lacewingroad/standins';
+import {rows, startSessionSite} from './session_site.js';
+import type {SessionSite} from './session_site.js';
+
+const HEADER_BYTES = 4;
+const SEED_BYTES = 997;
+
+let story: SessionSite;
+let regular: Connection;
+const sockets: Socket[] = [];
+
+beforeAll(async () => {
+  story = await startSessionSite();
+  regular = await story.connect('a-1');
+});
+
+afterAll(() => story.close());
+
+afterEach(async () => {
+  sockets.splice(0).forEach(socket => socket.destroy());
+  // The other caller is served, on its old connection and on a new one.
+  expect(await rows(regular, 'SELECT 1 AS one')).toEqual([{one: 1}]);
+  const fresh = await story.connect('a-1');
+  expect(await rows(fresh, 'SELECT 1 AS one')).toEqual([{one: 1}]);
+  fresh.destroy();
+  expect(story.site.processes.isRunning('a-1')).toBe(true);
+});
+
+/** Opens a raw connection and reads the greeting. */
+async function openRaw(): Promise<Socket> {
+  const socket = connect(story.site.proxied(LINKS.caller('a-1')));
+  socket.on('error', () => undefined);
+  sockets.push(socket);
+  await once(socket, 'data');
+  return socket;
+}
+
+function packet(sequence: number, body: Buffer, length = body.length): Buffer {
+  const header = Buffer.alloc(HEADER_BYTES);
+  header.writeUIntLE(length, 0, 3);
+  header[3] = sequence;
+  return Buffer.concat([header, body]);
+}
+
+/** Bytes that look like nothing, the same on every run. */
+function noise(count: number): Buffer {
+  return Buffer.from(
+    Array.from({length: count}, (_, at) => (at * at * 31 + at) % SEED_BYTES),
+  );
+}
+
+async function waitForEnd(socket: Socket): Promise<void> {
+  if (!socket.destroyed) {
+    socket.resume();
+    await once(socket, 'close');
+  }
+}
+
+describe('a caller that sends', () => {
+  it.each([
+    ['noise', () => noise(500)],
+    ['an empty packet', () => packet(1, Buffer.alloc(0))],
+    ['a short handshake', () => packet(1, Buffer.from([0x85, 0xa6]))],
+    ['a wrong sequence', () => packet(9, noise(64))],
+    ['an oversized handshake', () => packet(1, noise(200_000))],
+    [
+      'a handshake of endless length',
+      () => packet(1, noise(100_000), 0xffffff),
+    ],
+  ])('%s is cut off', async (_name, bytes) => {
+    const socket = await openRaw();
+    socket.write(bytes());
+    await waitForEnd(socket);
+  });
+
+  it('half a handshake and then nothing keeps only itself waiting', async () => {
+    const socket = await openRaw();
+    socket.write(packet(1, noise(20), 60));
+    const other = await story.connect('a-1');
+    expect(await rows(other, 'SELECT 2 AS two')).toEqual([{two: 2}]);
+  });
+
+  it('a packet above 16 MiB is cut off', async () => {
+    const caller = await story.connect('a-1');
+    const huge = 'x'.repeat(17 * 1024 * 1024);
+    await expect(caller.query(`SELECT '${huge}'`)).rejects.toThrow();
+  });
+
+  it.each([
+    ['an unknown command', Buffer.from([0x7f, 1, 2])],
+    ['an execution of nothing', Buffer.from([0x17, 9, 0, 0, 0, 0, 1, 0, 0, 0])],
+    ['a truncated execution', Buffer.from([0x17, 9])],
+    ['text that is no UTF-8', Buffer.from([0x03, 0xff, 0xfe])],
+  ])('%s gets an error', async (_name, body) => {
+    const caller = await story.connect('a-1');
+    const {stream} = (caller as unknown as {connection: {stream: Socket}})
+      .connection;
+    stream.removeAllListeners('data');
+    const answered = once(stream, 'data') as Promise<[Buffer]>;
+    stream.write(packet(0, body));
+    const [answer] = await answered;
+    expect(answer[HEADER_BYTES]).toBe(0xff);
+  });
+});
+
+it('a hundred silent connections keep nobody from connecting', async () => {
+  await Promise.all(Array.from({length: 100}, openRaw));
+  const callers = await Promise.all(
+    Array.from({length: 10}, () => story.connect('a-1')),
+  );
+  for (const caller of callers) {
+    expect(await rows(caller, 'SELECT 1 AS one')).toEqual([{one: 1}]);
+  }
+});
--- /dev/null
+++ b/packages/daemon/src/__tests__/integration/run_entry.test.ts
@@ -0,0 +1,140 @@
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+const ENTRY = fileURLToPath(new URL('entry_process.js', import.meta.url));
+const ADDRESS = '127.0.1.77';
+
+/** A daemon in a process of its own, and what it wrote. */
+interface Daemon {
+  readonly child: ChildProcess;
+  readonly readOutput: () => string;
+  readonly exited: Promise<number | null>;
+}
+
+let directory: string;
+const children: ChildProcess[] = [];
+
+beforeEach(() => {
+  directory = mkdtempSync(join(tmpdir(), 'lacewingroad-'));
+});
+
+afterEach(() => {
+  children.splice(0).forEach(child => child.kill('SIGKILL'));
+  rmSync(directory, {recursive: true});
+});
+
+/** Returns a port that is free on the daemon's address. */
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  server.listen(0, ADDRESS);
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+/** Writes valid settings and returns their path. */
+async function writeSettings(): Promise<string> {
+  const path = join(directory, 'settings.yaml');
+  const ports = [];
+  for (const name of ['caller', 'peer', 'operator']) {
+    ports.push(`${name}: ${await findFreePort()}`);
+  }
+  const text = `
+host: a-1
+data_centre: a
+address: ${ADDRESS}
+listen: {${ports.join(', ')}}
+platform: {url: 'http://127.0.0.1:9'}
+endpoints: {user: proxy, password: ''}
+users: [{name: app, password_sha1: '${'a'.repeat(40)}', services: ['*']}]
+`;
+  writeFileSync(path, text);
+  return path;
+}
+
+/** Starts the daemon. */
+function startDaemon(path: string, behaviour: string): Daemon {
+  const child = spawn(process.execPath, [ENTRY, path, behaviour]);
+  children.push(child);
+  let output = '';
+  const collect = (data: Buffer): void => {
+    output += data.toString();
+  };
+  child.stdout.on('data', collect);
+  child.stderr.on('data', collect);
+  const exited = once(child, 'close').then(([code]) => code as number | null);
+  return {child, readOutput: () => output, exited};
+}
+
+/** Starts the daemon with valid settings and waits until it listens. */
+async function startListening(behaviour: string): Promise<Daemon> {
+  const daemon = startDaemon(await writeSettings(), behaviour);
+  await waitForOutput(daemon, 'event=listening');
+  return daemon;
+}
+
+/** Waits until the daemon has written a text. */
+async function waitForOutput(daemon: Daemon, text: string): Promise<void> {
+  while (!daemon.readOutput().includes(text)) {
+    await once(daemon.child.stdout!, 'data');
+  }
+}
+
+describe('runEntry', () => {
+  it.each(['SIGTERM', 'SIGINT'] as const)(
+    'stops gracefully at %s once the engine has drained',
+    async signal => {
+      const daemon = await startListening('finish');
+      daemon.child.kill(signal);
+      expect(await daemon.exited).toBe(0);
+      expect(daemon.readOutput()).toMatch(
+        /event=drain_requested[^]*event=stopped/,
+      );
+    },
+  );
+
+  it('ends at once at a second signal', async () => {
+    const daemon = await startListening('hang');
+    daemon.child.kill('SIGTERM');
+    await waitForOutput(daemon, 'event=drain_requested');
+    daemon.child.kill('SIGTERM');
+    expect(await daemon.exited).toBe(1);
+    expect(daemon.readOutput()).not.toContain('event=stopped');
+  });
+
+  it('logs a defect and ends with exit code 1', async () => {
+    const daemon = await startListening('fail');
+    daemon.child.kill('SIGTERM');
+    expect(await daemon.exited).toBe(1);
+    expect(daemon.readOutput()).toContain('event=fatal_error');
+    expect(daemon.readOutput()).toContain('asked to fail');
+  });
+
+  it('refuses wrong settings with all faults and exit code 2', async () => {
+    const path = join(directory, 'wrong.yaml');
+    writeFileSync(path, 'host: 5\nunknown: 1\n');
+    const daemon = startDaemon(path, 'finish');
+    expect(await daemon.exited).toBe(2);
+    expect(daemon.readOutput()).toContain('unknown: found an unknown key');
+    expect(daemon.readOutput()).toContain('host: found 5');
+  });
+
+  it('says when a port is taken', async () => {
+    const path = await writeSettings();
+    const first = startDaemon(path, 'finish');
+    await waitForOutput(first, 'event=listening');
+    const second = startDaemon(path, 'finish');
+    expect(await second.exited).toBe(1);
+    expect(second.readOutput()).toContain('EADDRINUSE');
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/groups_page.ts
@@ -0,0 +1,96 @@
+/** What operators read at /groups: who is primary, and how replicas stand. */
+
+import type {
+  Blackboard,
+  Fence,
+  GroupEndpoint,
+  GroupObject,
+  Instant,
+  TermStart,
+} from '@lacewingroad/core';
+import {compareText, readAgeMs} from './pages.js';
+
+/** One endpoint as this host knows it; null where it knows nothing. */
+export interface EndpointEntry {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly role: 'primary' | 'replica' | null;
+  readonly term: number | null;
+  readonly index: number | null;
+  /** Age of its data in milliseconds. */
+  readonly dataAgeMs: number | null;
+  /** Age of this knowledge in milliseconds. */
+  readonly statusAgeMs: number | null;
+  /** Whether this host owns the endpoint's pool. */
+  readonly owned: boolean;
+}
+
+/** One group. */
+export interface GroupEntry {
+  readonly id: string;
+  readonly version: number;
+  readonly term: number;
+  readonly primary: string;
+  readonly fence: Fence | null;
+  readonly owners: Readonly<Record<string, string>>;
+  readonly starts: readonly TermStart[];
+  readonly endpoints: readonly EndpointEntry[];
+}
+
+/** The page. */
+export interface GroupsPage {
+  readonly host: string;
+  readonly groups: readonly GroupEntry[];
+}
+
+/** Reads one endpoint. */
+function readEndpoint(
+  board: Blackboard,
+  endpoint: GroupEndpoint,
+  now: Instant,
+): EndpointEntry {
+  const view = board.endpoints.views.get(endpoint.id);
+  const status = view?.status ?? null;
+  return {
+    id: endpoint.id,
+    dataCentre: endpoint.dataCentre,
+    role: status?.role ?? null,
+    term: status?.position.term ?? null,
+    index: status?.position.index ?? null,
+    dataAgeMs: readAgeMs(view?.dataAsOf, now),
+    statusAgeMs: readAgeMs(view?.statusAt, now),
+    owned: board.endpoints.owned.has(endpoint.id),
+  };
+}
+
+/** Reads one group. */
+function readGroup(
+  board: Blackboard,
+  version: number,
+  group: GroupObject,
+  now: Instant,
+): GroupEntry {
+  return {
+    id: group.id,
+    version,
+    term: group.term,
+    primary: group.primary,
+    fence: group.fence,
+    owners: group.owners,
+    starts: group.starts,
+    endpoints: group.endpoints.map(endpoint =>
+      readEndpoint(board, endpoint, now),
+    ),
+  };
+}
+
+/** Reads the page from the blackboard. */
+export function readGroupsPage(board: Blackboard, now: Instant): GroupsPage {
+  const groups = [...board.view.groups.values()].map(({version, value}) =>
+    readGroup(board, version, value, now),
+  );
+  return {
+    host: board.self.host,
+    groups: groups.sort((a, b) => compareText(a.id, b.id)),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,22 @@
+/** The entry host: the decision library on real sockets. */
+
+export type {
+  CallerPort,
+  CallerPortConfig,
+  EndpointPort,
+  EndpointPortConfig,
+  EntryParts,
+} from './parts.js';
+export type {EndpointEntry, GroupEntry, GroupsPage} from './groups_page.js';
+export {readGroupsPage} from './groups_page.js';
+export type {HostEntry, HostsPage} from './hosts_page.js';
+export {readHostsPage} from './hosts_page.js';
+export {readReadiness} from './readiness.js';
+export type {Readiness} from './readiness.js';
+export type {TableEntry, TablePage} from './table_page.js';
+export {readTablePage} from './table_page.js';
+export {EXIT_CODES, runEntry} from './run_entry.js';
+export {startEntryHost} from './wire.js';
+export type {EntryHost, EntryOptions, EntryPorts} from './wire.js';
+export {createBoardGauges} from './board_gauges.js';
+export type {GaugeSource} from './board_gauges.js';
--- /dev/null
+++ b/packages/daemon/src/operator_routes.ts
@@ -0,0 +1,153 @@
+/** The calls that operators make, as a lookup table. */
+
+import type {IncomingMessage} from 'node:http';
+import type {
+  Blackboard,
+  EndpointId,
+  GroupId,
+  Instant,
+} from '@lacewingroad/core';
+import type {TimelineEvent} from '@lacewingroad/telemetry';
+import {readGroupsPage} from './groups_page.js';
+import {readHostsPage} from './hosts_page.js';
+import {readReadiness} from './readiness.js';
+import {readTablePage} from './table_page.js';
+
+/** Largest request body that is read, in bytes. */
+const MAX_BODY_BYTES = 64 * 1024;
+const JSON_TYPE = 'application/json; charset=utf-8';
+
+/** An answer to an operator. */
+export interface OperatorAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** What the calls read. */
+export interface OperatorSource {
+  readonly now: () => Instant;
+  readonly getBoard: () => Blackboard;
+  readonly isDraining: () => boolean;
+  readonly readEvents: (afterSeq: number) => readonly TimelineEvent[];
+  readonly readMetrics: () => Promise<string>;
+  readonly metricsType: string;
+  /** Asks for a planned change of primary; resolves once it is over. */
+  readonly requestFailover: (
+    group: GroupId,
+    to: EndpointId | null,
+  ) => Promise<FailoverAnswer>;
+}
+
+/** How a planned change of primary ended. */
+export interface FailoverAnswer {
+  readonly ok: boolean;
+  readonly detail: string;
+}
+
+/** Answers one call. */
+export type OperatorRoute = (
+  source: OperatorSource,
+  req: IncomingMessage,
+  url: URL,
+) => OperatorAnswer | Promise<OperatorAnswer>;
+
+/** Returns an answer in JSON. */
+export function answerJson(status: number, value: unknown): OperatorAnswer {
+  const body = `${JSON.stringify(value)}\n`;
+  return {status, contentType: JSON_TYPE, body};
+}
+
+/** Reads a whole body; null when it is too large. */
+async function readBody(req: IncomingMessage): Promise<string | null> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MAX_BODY_BYTES) {
+      return null;
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/** Reads the body of POST /failover; null when it is not valid. */
+function parseFailover(
+  text: string,
+): {readonly group: GroupId; readonly to: EndpointId | null} | null {
+  try {
+    const value = JSON.parse(text) as {group?: unknown; to?: unknown} | null;
+    const group = value?.group;
+    const to = value?.to ?? null;
+    const isValid =
+      typeof group === 'string' &&
+      group !== '' &&
+      (to === null || typeof to === 'string');
+    return isValid ? {group, to} : null;
+  } catch {
+    return null;
+  }
+}
+
+const answerReady: OperatorRoute = source => {
+  const readiness = readReadiness(source.getBoard(), source.isDraining());
+  return answerJson(readiness.ready ? 200 : 503, readiness);
+};
+
+const answerMetrics: OperatorRoute = async source => ({
+  status: 200,
+  contentType: source.metricsType,
+  body: await source.readMetrics(),
+});
+
+const answerEvents: OperatorRoute = (source, _req, url) => {
+  const after = Number(url.searchParams.get('after') ?? '0');
+  if (!Number.isSafeInteger(after) || after < 0) {
+    const error = 'after must be a whole number from 0, the last seq read';
+    return answerJson(400, {error});
+  }
+  const {host} = source.getBoard().self;
+  return answerJson(200, {host, events: source.readEvents(after)});
+};
+
+const answerFailover: OperatorRoute = async (source, req) => {
+  const text = await readBody(req);
+  const wanted = text === null ? null : parseFailover(text);
+  if (wanted === null) {
+    const detail =
+      'send {"group": ID, "to": ENDPOINT or null} as JSON; nothing was changed';
+    return answerJson(400, {ok: false, detail});
+  }
+  const answer = await source.requestFailover(wanted.group, wanted.to);
+  return answerJson(200, answer);
+};
+
+/** All calls, by method and path. */
+const ROUTES: Readonly<Record<string, OperatorRoute>> = {
+  'GET /healthz': () => answerJson(200, {ok: true}),
+  'GET /readyz': answerReady,
+  'GET /metrics': answerMetrics,
+  'GET /table': source =>
+    answerJson(200, readTablePage(source.getBoard(), source.now())),
+  'GET /groups': source =>
+    answerJson(200, readGroupsPage(source.getBoard(), source.now())),
+  'GET /hosts': source =>
+    answerJson(200, readHostsPage(source.getBoard(), source.now())),
+  'GET /events': answerEvents,
+  'POST /failover': answerFailover,
+};
+
+/** Answers a call that does not exist with those that do. */
+const answerNotFound: OperatorRoute = () =>
+  answerJson(404, {
+    error: `no such call; there are ${Object.keys(ROUTES).join(', ')}`,
+  });
+
+/** Finds how to answer a call. */
+export function findRoute(method: string, path: string): OperatorRoute {
+  const name = `${method} ${path}`;
+  return Object.hasOwn(ROUTES, name)
+    ? (ROUTES[name] ?? answerNotFound)
+    : answerNotFound;
+}
--- /dev/null
+++ b/packages/daemon/src/table_page.ts
@@ -0,0 +1,43 @@
+/** What operators read at /table: the tables in force on this host. */
+
+import type {Blackboard, Instant, TableRow} from '@lacewingroad/core';
+import {compareText, readAgeMs} from './pages.js';
+
+/** The table of one service as it is in force here. */
+export interface TableEntry {
+  readonly service: string;
+  readonly version: number;
+  /** Time since this version came into force here, in milliseconds. */
+  readonly inForceForMs: number | null;
+  readonly editId: string;
+  readonly rows: readonly TableRow[];
+}
+
+/** The page. */
+export interface TablePage {
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly revision: number;
+  /** Age of this host's view of the platform in milliseconds, or null. */
+  readonly viewAgeMs: number | null;
+  readonly tables: readonly TableEntry[];
+}
+
+/** Reads the page from the blackboard. */
+export function readTablePage(board: Blackboard, now: Instant): TablePage {
+  const {self, view} = board;
+  const tables = [...view.tables.entries()].map(([service, table]) => ({
+    service,
+    version: table.version,
+    inForceForMs: readAgeMs(view.tablesInForceSince.get(service), now),
+    editId: table.value.editId,
+    rows: table.value.rows,
+  }));
+  return {
+    host: self.host,
+    dataCentre: self.dataCentre,
+    revision: view.revision,
+    viewAgeMs: readAgeMs(view.freshAt, now),
+    tables: tables.sort((a, b) => compareText(a.service, b.service)),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/wire.ts
@@ -0,0 +1,248 @@
+/** Wires the parts of an entry host; the only module that knows them all. */
+
+import {merge} from 'rxjs';
+import type {HostObject} from '@lacewingroad/core';
+import {createPeerAdapter} from '@lacewingroad/peer';
+import {createPlatformAdapter} from '@lacewingroad/platform';
+import {waitUntil} from '@lacewingroad/runtime';
+import type {Instant, Runtime} from '@lacewingroad/runtime';
+import type {SeedSettings, Settings} from '@lacewingroad/settings';
+import {
+  createHlc,
+  createRecorder,
+  createStdoutDestination,
+} from '@lacewingroad/telemetry';
+import type {LogDestination, Recorder} from '@lacewingroad/telemetry';
+import {createEventLoop} from './event_loop.js';
+import type {EventLoop} from './event_loop.js';
+import {createOperatorAdapter} from './operator_http.js';
+import {DEFAULT_PARTS} from './parts.js';
+import type {CallerPort, EntryParts} from './parts.js';
+import {createBoardGauges} from './board_gauges.js';
+import {createTimers} from './timers.js';
+
+/** Time for the last answers to leave after draining, in milliseconds. */
+const DRAIN_FLUSH_MS = 100;
+/** Time past the drain deadline after which draining ends anyway, in ms. */
+const DRAIN_OVERRUN_MS = 500;
+const INCARNATION_DIGITS = 12;
+
+/** Ports on which an entry host listens. */
+export interface EntryPorts {
+  readonly caller: number;
+  readonly peer: number;
+  readonly operator: number;
+}
+
+/** A running entry host. */
+export interface EntryHost {
+  /** Resolves once all ports are open; rejects when one cannot be. */
+  readonly ready: Promise<EntryPorts>;
+  /** Takes no new work; resolves once what runs has ended. */
+  readonly drain: (deadline: Instant) => Promise<void>;
+  /** Ends everything at once; resolves once all sockets are closed. */
+  readonly close: () => Promise<void>;
+}
+
+/** What may differ from a daemon of its own process. */
+export interface EntryOptions {
+  readonly parts?: EntryParts;
+  readonly destination?: LogDestination;
+  /** Whether /metrics tells of the process; for one host per process. */
+  readonly withProcessMetrics?: boolean;
+  /** Called after a defect was logged; ends the process unless replaced. */
+  readonly onFatal?: (err: unknown) => void;
+}
+
+/** Returns text that distinguishes this start of the process. */
+function createIncarnation(runtime: Runtime): string {
+  const digit = (): string => Math.floor(runtime.random() * 16).toString(16);
+  return Array.from({length: INCARNATION_DIGITS}, digit).join('');
+}
+
+/** Returns a host of the settings as the platform would list it. */
+function toSeedHost(seed: SeedSettings): HostObject {
+  return {
+    id: seed.host,
+    dataCentre: seed.dataCentre,
+    state: 'live',
+    peerAddress: seed.peerAddress,
+    callerAddress: '',
+    operatorAddress: '',
+  };
+}
+
+/** Logs a defect and what led to it. */
+function recordFatal(recorder: Recorder, err: unknown): void {
+  const detail =
+    err instanceof Error ? (err.stack ?? err.message) : String(err);
+  recorder.record({
+    type: 'record',
+    level: 'error',
+    event: 'fatal_error',
+    fields: {detail},
+  });
+  recorder.flush();
+}
+
+/** Starts an entry host; its `ready` tells when it listens. */
+export function startEntryHost(
+  settings: Settings,
+  runtime: Runtime,
+  options: EntryOptions = {},
+): EntryHost {
+  const {host, dataCentre, address, listen} = settings;
+  const parts = options.parts ?? DEFAULT_PARTS;
+  const onFatal = options.onFatal ?? (() => process.exit(1));
+  const incarnation = createIncarnation(runtime);
+  const hlc = createHlc(runtime);
+  const recorder = createRecorder({
+    host,
+    hlc,
+    level: settings.log.level,
+    destination: options.destination ?? createStdoutDestination(),
+    withProcessMetrics: options.withProcessMetrics ?? false,
+  });
+  const engine = parts.createEntryEngine({
+    host,
+    dataCentre,
+    incarnation,
+    startedAt: runtime.now(),
+    seeds: settings.seeds.map(toSeedHost),
+  });
+  createBoardGauges({getBoard: engine.getBoard, now: runtime.now}).forEach(
+    recorder.metrics.registerGauge,
+  );
+  let isDraining = false;
+  let isClosed = false;
+  let loop: EventLoop | null = null;
+  let caller: CallerPort | null = null;
+  let reportDrained: () => void = () => undefined;
+
+  const timers = createTimers(runtime, event => loop?.push(event));
+  const endpoints = parts.createEndpointAdapter({
+    runtime,
+    sourceAddress: address,
+    ...settings.endpoints,
+  });
+  const platform = createPlatformAdapter({
+    runtime,
+    url: settings.platform.url,
+    sourceAddress: address,
+  });
+  const peers = createPeerAdapter({
+    runtime,
+    hlc,
+    host,
+    incarnation,
+    sourceAddress: address,
+    listenPort: listen.peer,
+    resolveAddress: other =>
+      engine.getBoard().view.hosts.get(other)?.value.peerAddress ?? null,
+  });
+  const operators = createOperatorAdapter({
+    runtime,
+    address,
+    port: listen.operator,
+    source: {
+      getBoard: engine.getBoard,
+      isDraining: () => isDraining,
+      readEvents: recorder.readEvents,
+      readMetrics: recorder.metrics.readText,
+      metricsType: recorder.metrics.contentType,
+    },
+  });
+
+  const recordOwn = (
+    event: string,
+    fields: Readonly<Record<string, string | number>>,
+  ): void => recorder.record({type: 'record', level: 'info', event, fields});
+
+  const start = async (): Promise<EntryPorts> => {
+    const callers = await parts.createCallerAdapter({
+      runtime,
+      address,
+      port: listen.caller,
+      users: settings.users,
+    });
+    caller = callers;
+    const started = createEventLoop({
+      engine,
+      runtime,
+      performers: {
+        ...callers.performers,
+        ...endpoints.performers,
+        ...platform.performers,
+        ...peers.performers,
+        ...operators.performers,
+        ...timers.performers,
+        record: recorder.record,
+        drained: () => reportDrained(),
+      },
+      onFatal: err => {
+        recordFatal(recorder, err);
+        onFatal(err);
+      },
+    });
+    loop = started;
+    merge(
+      callers.events$,
+      endpoints.events$,
+      platform.events$,
+      peers.events$,
+      operators.events$,
+    ).subscribe(started.push);
+    started.push({type: 'started'});
+    const ports = {
+      caller: callers.port,
+      peer: await peers.listen(),
+      operator: await operators.listen(),
+    };
+    recordOwn('listening', {address, incarnation, ...ports});
+    return ports;
+  };
+
+  const close = async (): Promise<void> => {
+    if (isClosed) {
+      return;
+    }
+    isClosed = true;
+    await ready.catch(() => undefined);
+    loop?.stop();
+    timers.close();
+    await Promise.all([
+      caller?.close(),
+      endpoints.close(),
+      platform.close(),
+      peers.close(),
+      operators.close(),
+    ]);
+    recordOwn('stopped', {});
+    recorder.flush();
+  };
+
+  const drain = async (deadline: Instant): Promise<void> => {
+    isDraining = true;
+    await ready.catch(() => undefined);
+    caller?.stopListening();
+    recordOwn('drain_requested', {
+      left_ms: Math.round(deadline - runtime.now()),
+    });
+    const drained = new Promise<void>(resolve => {
+      const latest = deadline + DRAIN_OVERRUN_MS;
+      const unregister = runtime.at(latest, resolve);
+      reportDrained = () => {
+        unregister();
+        resolve();
+      };
+    });
+    loop?.push({type: 'drain', deadline});
+    await drained;
+    await waitUntil(runtime, runtime.now() + DRAIN_FLUSH_MS);
+  };
+
+  const ready = start();
+  // Whoever waits for `ready` learns of the fault; nobody has to.
+  ready.catch(() => undefined);
+  return {ready, drain, close};
+}
--- /dev/null
+++ b/packages/demo/src/__tests__/unit/demo.test.ts
@@ -0,0 +1,29 @@
+import {describe, expect, it} from 'vitest';
+import {createTally, readOutcome, sumSamples} from '@lacewingroad/demo';
+
+describe('the demo', () => {
+  it('sums the samples of a counter by labels', () => {
+    const text = [
+      '# HELP c_total help',
+      'c_total{work="read",role="replica"} 3',
+      'c_total{work="read",role="primary"} 2',
+      'c_total{work="write",role="primary"} 9',
+      'c_total_other{work="read",role="replica"} 100',
+    ].join('\n');
+    expect(sumSamples(text, 'c_total', {work: 'read'})).toBe(5);
+    expect(sumSamples(text, 'c_total', {role: 'replica'})).toBe(3);
+  });
+
+  it('measures the longest time without a payment after an instant', () => {
+    const tally = createTally();
+    [10, 20, 500, 510].forEach(tally.notePayment);
+    expect(tally.readGapMs(30)).toBe(470);
+    expect(tally.readGapMs(505)).toBe(5);
+  });
+
+  it('tells outcomes apart by error number', () => {
+    expect(readOutcome({errno: 9101})).toBe('not_run');
+    expect(readOutcome({errno: 9102})).toBe('unknown');
+    expect(readOutcome(new Error('reset'))).toBe('other');
+  });
+});
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,8 @@
+/** The demo's program. */
+
+import {createSystemRuntime} from '@lacewingroad/runtime';
+import {runDemo} from './demo.js';
+
+await runDemo(createSystemRuntime(), line => {
+  process.stdout.write(`${line}\n`);
+});
--- /dev/null
+++ b/packages/fakes/src/fuzz/commands/platform_commands.ts
@@ -0,0 +1,109 @@
+/** Commands of the platform and its operators. */
+
+import fc from 'fast-check';
+import type {GroupObject, TableObject} from '@lacewingroad/core';
+import type {NetNode} from '../../network.js';
+import {MAX_LATE_MS} from '../finish.js';
+import {FUZZ_ROWS} from '../world.js';
+import {createCommand, gap, groupId, index} from './command.js';
+import type {CommandArbitrary} from './command.js';
+
+const setPlatform = fc
+  .tuple(
+    gap,
+    fc.constantFrom('up', 'up', 'down', 'hang'),
+    fc.constantFrom(0, 0, 50, 900),
+  )
+  .map(([ms, mode, slowMs]) =>
+    createCommand(`platform ${mode} slow=${slowMs}`, ms, world => {
+      Object.assign(world.site.platform.faults, {mode, slowMs});
+    }),
+  );
+
+const loseAnswers = fc
+  .tuple(gap, fc.integer({min: 1, max: 3}))
+  .map(([ms, count]) =>
+    createCommand(`platform loses ${count} answers`, ms, world => {
+      world.site.platform.faults.loseAnswers = count;
+    }),
+  );
+
+const lateUpdates = fc
+  .tuple(
+    gap,
+    fc.integer({min: 1, max: 2}),
+    fc.integer({min: 10, max: MAX_LATE_MS - 1_000}),
+  )
+  .map(([ms, count, lateMs]) =>
+    createCommand(`platform ${count} updates late by ${lateMs}`, ms, world => {
+      Object.assign(world.site.platform.faults, {lateUpdates: count, lateMs});
+    }),
+  );
+
+/** Two operators edit the table that both read, one after the other. */
+const editTable = fc
+  .tuple(gap, fc.constantFrom('sg', 'sh'), fc.nat({max: 20}))
+  .map(([ms, service, worth]) =>
+    createCommand(`edit ${service} worth=${worth}`, ms, world => {
+      const {platform} = world.site;
+      const key = `tables/${service}`;
+      const standing = platform.find(key)!;
+      for (const zone of ['operator-1', 'operator-2']) {
+        const node: NetNode = {id: zone, zone};
+        const value: TableObject = {
+          ...(standing.value as TableObject),
+          rows: FUZZ_ROWS.map(row => ({...row, worth})),
+          editId: `${zone}-${standing.version}`,
+          editedBy: zone,
+        };
+        const update = {key, baseVersion: standing.version, value};
+        platform.update(node, update, () => undefined);
+      }
+    }),
+  );
+
+/** Marks an endpoint as leaving, or takes the mark away. */
+const markLeaving = fc
+  .tuple(gap, groupId, index, fc.constantFrom(true, true, false))
+  .map(([ms, id, at, leaving]) =>
+    createCommand(
+      `mark endpoint ${at} of ${id} leaving=${leaving}`,
+      ms,
+      world => {
+        const {platform} = world.site;
+        const key = `groups/${id}`;
+        const standing = platform.find(key)!;
+        const group = standing.value as GroupObject;
+        const chosen = group.endpoints[at % group.endpoints.length]!.id;
+        const endpoints = group.endpoints.map(endpoint =>
+          endpoint.id === chosen ? {...endpoint, leaving} : endpoint,
+        );
+        const node: NetNode = {id: 'operator-1', zone: 'operator-1'};
+        const value: GroupObject = {...group, endpoints};
+        const update = {key, baseVersion: standing.version, value};
+        platform.update(node, update, () => undefined);
+      },
+    ),
+  );
+
+const planFailover = fc
+  .tuple(gap, index, groupId, fc.option(index))
+  .map(([ms, at, group, to]) =>
+    createCommand(`failover ${group} to ${to} at ${at % 6}`, ms, world => {
+      const {endpoints} = world.site.readGroup(group);
+      const target = to === null ? null : endpoints[to % endpoints.length]!.id;
+      const host = world.site.hosts.get(world.hostId(at))!;
+      host.push({type: 'operator_failover', ask: 1, group, to: target});
+    }),
+  );
+
+/** Faults and edits of the platform, each as often as its share of a run. */
+export const PLATFORM_COMMANDS: readonly CommandArbitrary[] = [
+  setPlatform,
+  loseAnswers,
+  lateUpdates,
+  editTable,
+  markLeaving,
+  planFailover,
+  planFailover,
+];
--- /dev/null
+++ b/packages/fakes/src/fuzz/commands/work_commands.ts
@@ -0,0 +1,128 @@
+/** Commands of callers: statements, transactions, moves and floods. */
+
+import fc from 'fast-check';
+import type {FuzzWorld} from '../world.js';
+import {createCommand, gap, groupId, index, writeFor} from './command.js';
+import type {CommandArbitrary} from './command.js';
+
+/** Time over which a flood arrives, in milliseconds. */
+const FLOOD_MS = 400;
+/** Bursts of one flood. */
+const FLOOD_BURSTS = 4;
+
+const writeKind = fc.constantFrom('payment', 'payment', 'approval', 'durable');
+const readKind = fc.constantFrom('session_read', 'aged_read', 'fresh_read');
+
+function pickClient(
+  world: FuzzWorld,
+  at: number,
+): FuzzWorld['clients'][number] {
+  return world.clients[at % world.clients.length]!;
+}
+
+const write = fc
+  .tuple(gap, index, writeKind, fc.boolean())
+  .map(([ms, at, kind, isKeyed]) =>
+    createCommand(`write c${at % 5} ${kind} keyed=${isKeyed}`, ms, world =>
+      pickClient(world, at).write(kind, isKeyed),
+    ),
+  );
+
+const repeatKeyed = fc
+  .tuple(gap, index)
+  .map(([ms, at]) =>
+    createCommand(`repeat c${at % 5}`, ms, world =>
+      pickClient(world, at).repeatKeyed(),
+    ),
+  );
+
+const read = fc
+  .tuple(gap, index, readKind)
+  .map(([ms, at, kind]) =>
+    createCommand(`read c${at % 5} ${kind}`, ms, world =>
+      pickClient(world, at).read(kind),
+    ),
+  );
+
+const runTx = fc
+  .tuple(
+    gap,
+    index,
+    fc.integer({min: 1, max: 3}),
+    fc.constantFrom<'COMMIT' | 'ROLLBACK'>('COMMIT', 'COMMIT', 'ROLLBACK'),
+    fc.constantFrom(0, 0, 30, 400),
+  )
+  .map(([ms, at, count, end, thinkMs]) =>
+    createCommand(`tx c${at % 5} ${count} ${end} think=${thinkMs}`, ms, world =>
+      pickClient(world, at).runTx(count, end, thinkMs),
+    ),
+  );
+
+const roam = fc
+  .tuple(gap, index, index)
+  .map(([ms, at, to]) =>
+    createCommand(`roam c${at % 5} to ${to % 6}`, ms, world =>
+      pickClient(world, at).roam(world.hostId(to)),
+    ),
+  );
+
+const pass = fc
+  .oneof(
+    fc.integer({min: 1, max: 400}),
+    fc.integer({min: 400, max: 2_500}),
+    fc.integer({min: 2_500, max: 5_000}),
+  )
+  .map(ms => createCommand('pass', ms, () => undefined));
+
+/** All clients write, through whatever faults stand. */
+const keepWriting = fc
+  .integer({min: 300, max: 6_000})
+  .map(ms =>
+    createCommand(`keep writing for ${ms}`, 0, world => writeFor(world, ms)),
+  );
+
+/**
+ * Sends a burst of one kind, at many hosts, that takes far more than the slots
+ * of its group, while the clients go on with urgent work.
+ */
+const flood = fc
+  .tuple(
+    gap,
+    groupId,
+    fc.constantFrom('bulk', 'bulk', 'payment'),
+    fc.boolean(),
+    fc.integer({min: 40, max: 160}),
+    fc.constantFrom(10, 40),
+  )
+  .map(([ms, group, kind, isWrite, count, serviceMs]) =>
+    createCommand(
+      `flood ${group} with ${count} ${kind} write=${isWrite} service=${serviceMs}`,
+      ms,
+      world => {
+        world.setServiceTime(serviceMs);
+        for (let burst = 0; burst < FLOOD_BURSTS; burst++) {
+          world.flood.send(group, kind, isWrite, count / FLOOD_BURSTS);
+          writeFor(world, FLOOD_MS / FLOOD_BURSTS);
+        }
+        world.clients.forEach(client => client.read('session_read'));
+      },
+    ),
+  );
+
+/** Ends slow service. */
+const calm = gap.map(ms =>
+  createCommand('calm', ms, world => world.setServiceTime(1)),
+);
+
+/** Work of callers, each as often as its share of a run. */
+export const WORK_COMMANDS: readonly CommandArbitrary[] = [
+  ...Array.from({length: 9}, () => write),
+  ...Array.from({length: 5}, () => read),
+  ...Array.from({length: 4}, () => runTx),
+  ...Array.from({length: 3}, () => roam),
+  ...Array.from({length: 3}, () => pass),
+  ...Array.from({length: 2}, () => keepWriting),
+  repeatKeyed,
+  flood,
+  calm,
+];
--- /dev/null
+++ b/packages/mysql/src/index.ts
@@ -0,0 +1,10 @@
+/** The MySQL protocol towards callers and towards endpoints. */
+
+export type {CallerUser} from './auth.js';
+export {createCallerAdapter} from './caller_adapter.js';
+export type {CallerAdapter, CallerAdapterConfig} from './caller_adapter.js';
+export {createEndpointAdapter} from './endpoint_adapter.js';
+export type {
+  EndpointAdapter,
+  EndpointAdapterConfig,
+} from './endpoint_adapter.js';
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,8 @@
+/** Connections between entry hosts. */
+
+export {decodeFrame, encodeFrame} from './frames.js';
+export type {BatchFrame, Frame, HelloFrame} from './frames.js';
+export type {HybridClock} from './link.js';
+export {MAX_WAITING_MESSAGES, SILENCE_MS} from './limits.js';
+export {createPeerAdapter} from './peer_adapter.js';
+export type {PeerAdapter, PeerAdapterConfig} from './peer_adapter.js';
--- /dev/null
+++ b/packages/platform/src/http_call.ts
@@ -0,0 +1,142 @@
+/** One HTTP call to the platform, with a deadline. */
+
+import {request} from 'node:http';
+import type {Agent, IncomingMessage} from 'node:http';
+import type {Instant, Runtime} from '@lacewingroad/runtime';
+
+/** Largest answer that is read, in bytes. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+/** A call of the platform's object API. */
+export interface HttpCall {
+  readonly method: 'GET' | 'PUT' | 'DELETE';
+  /** Path and query. */
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Sent as JSON; absent for none. */
+  readonly body?: unknown;
+  readonly deadline: Instant;
+}
+
+/** How a call ended. */
+export type HttpResult =
+  | {
+      readonly type: 'answered';
+      readonly status: number;
+      /** The JSON body, or undefined when it is none. */
+      readonly body: unknown;
+    }
+  /** No connection was made, so the platform saw nothing of the call. */
+  | {readonly type: 'not_sent'; readonly detail: string}
+  /** The call was sent and its answer did not arrive. */
+  | {readonly type: 'no_answer'; readonly detail: string};
+
+/** Where and how calls are made. */
+export interface HttpTarget {
+  readonly runtime: Runtime;
+  readonly url: URL;
+  readonly agent: Agent;
+  /** Local IP address of the connections, or null for any. */
+  readonly sourceAddress: string | null;
+}
+
+/** Reads a whole answer as text; rejects when it breaks off or is too large. */
+async function readText(res: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of res as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MAX_ANSWER_BYTES) {
+      throw new Error(`answer larger than ${MAX_ANSWER_BYTES} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/** Parses JSON; undefined when the text is none. */
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Returns the headers of a call. */
+function createHeaders(
+  call: HttpCall,
+  body: string | null,
+): Record<string, string> {
+  const content: Record<string, string> =
+    body === null
+      ? {}
+      : {
+          'content-type': 'application/json',
+          'content-length': String(Buffer.byteLength(body)),
+        };
+  return {accept: 'application/json', ...content, ...call.headers};
+}
+
+/** Makes one call; never rejects, and ends at the deadline at the latest. */
+export function callHttp(
+  target: HttpTarget,
+  call: HttpCall,
+): Promise<HttpResult> {
+  const {runtime, url, agent, sourceAddress} = target;
+  if (call.deadline <= runtime.now()) {
+    const detail = 'the deadline had passed before the call';
+    return Promise.resolve({type: 'not_sent', detail});
+  }
+  const body = call.body === undefined ? null : JSON.stringify(call.body);
+  const basePath = url.pathname.replace(/\/$/, '');
+  return new Promise(resolve => {
+    const req = request({
+      agent,
+      host: url.hostname.replace(/^\[|\]$/g, ''),
+      port: url.port,
+      method: call.method,
+      path: `${basePath}${call.path}`,
+      headers: createHeaders(call, body),
+      ...(sourceAddress === null ? {} : {localAddress: sourceAddress}),
+    });
+    let isEnded = false;
+    const end = (result: HttpResult): void => {
+      if (isEnded) {
+        return;
+      }
+      isEnded = true;
+      unregisterDeadline();
+      resolve(result);
+    };
+    const fail = (detail: string): void => {
+      const wasSent = req.socket !== null && !req.socket.connecting;
+      end({type: wasSent ? 'no_answer' : 'not_sent', detail});
+      req.destroy();
+    };
+    const unregisterDeadline = runtime.at(call.deadline, () =>
+      fail('the deadline passed'),
+    );
+    req.on('error', (err: NodeJS.ErrnoException) => {
+      const isConnectFault =
+        err.syscall === 'connect' || err.syscall === 'bind';
+      if (isConnectFault) {
+        end({type: 'not_sent', detail: err.message});
+        return;
+      }
+      fail(err.message);
+    });
+    req.on('response', res => {
+      readText(res).then(
+        text =>
+          end({
+            type: 'answered',
+            status: res.statusCode ?? 0,
+            body: parseJson(text),
+          }),
+        (err: unknown) => fail(String(err)),
+      );
+    });
+    req.end(body);
+  });
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,11 @@
+/** The platform's object API: adapter for entry hosts, client for tools. */
+
+export type {ObjectList, UpdatedObject} from './answers.js';
+export {createPlatformAdapter} from './platform_adapter.js';
+export type {PlatformAdapterConfig} from './platform_adapter.js';
+export {PlatformClient} from './platform_client.js';
+export type {
+  PlatformClientConfig,
+  PlatformError,
+  PlatformResult,
+} from './platform_client.js';
--- /dev/null
+++ b/packages/runtime/src/__tests__/unit/system_runtime.test.ts
@@ -0,0 +1,35 @@
+import {describe, expect, it} from 'vitest';
+import {createSystemRuntime} from '../../index.js';
+
+const TIMERS = 50;
+const BUSY_MS = 3;
+const DELAY_MS = 5;
+
+describe('at', () => {
+  it('never fires before its instant, however busy the turn was', async () => {
+    const runtime = createSystemRuntime();
+    for (let count = 0; count < TIMERS; count += 1) {
+      // A timer counts from the start of the turn in which it is set.
+      const busyUntil = runtime.now() + BUSY_MS;
+      while (runtime.now() < busyUntil) {
+        // Busy on purpose.
+      }
+      const at = runtime.now() + DELAY_MS;
+      const firedAt = await new Promise<number>(resolve =>
+        runtime.at(at, () => resolve(runtime.now())),
+      );
+      expect(firedAt).toBeGreaterThanOrEqual(at);
+    }
+  });
+
+  it('does not fire once unregistered', async () => {
+    const runtime = createSystemRuntime();
+    const fired: string[] = [];
+    const unregister = runtime.at(runtime.now() + 1, () => fired.push('first'));
+    unregister();
+    await new Promise<void>(resolve =>
+      runtime.at(runtime.now() + 20, () => resolve()),
+    );
+    expect(fired).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,16 @@
+/** Settings of an entry host: YAML, checked strictly. */
+
+export {loadSettings, parseSettings} from './load_settings.js';
+export {LOG_LEVELS} from './settings.js';
+export type {
+  ListenSettings,
+  LogLevel,
+  SeedSettings,
+  Settings,
+  UserSettings,
+} from './settings.js';
+export type {
+  SettingsError,
+  SettingsErrorKind,
+  SettingsFault,
+} from './settings_error.js';
--- /dev/null
+++ b/packages/settings/src/load_settings.ts
@@ -0,0 +1,166 @@
+/** Reads and checks a settings file. */
+
+import {readFileSync} from 'node:fs';
+import tsResults from 'ts-results';
+import type {Result} from 'ts-results';
+import {parseDocument} from 'yaml';
+import type {z} from 'zod';
+import {SETTINGS_SCHEMA} from './schema.js';
+import type {SettingsFile} from './schema.js';
+import type {Settings} from './settings.js';
+import {createSettingsError} from './settings_error.js';
+import type {SettingsError, SettingsFault} from './settings_error.js';
+
+// The package is CommonJS without named exports for ES modules.
+const {Err, Ok} = tsResults;
+
+type Path = readonly PropertyKey[];
+
+/** Keys whose values are never shown. */
+const SECRET_KEYS: ReadonlySet<PropertyKey> = new Set([
+  'password',
+  'password_sha1',
+]);
+/** Longest text shown of a value that was found, in characters. */
+const MAX_FOUND_LENGTH = 80;
+
+/** Returns a path as text: `users[0].name`. */
+function formatPath(path: Path): string {
+  if (path.length === 0) {
+    return '(file)';
+  }
+  return path
+    .map(key => (typeof key === 'number' ? `[${key}]` : `.${String(key)}`))
+    .join('')
+    .replace(/^\./, '');
+}
+
+/** Returns the value at a path, or undefined. */
+function readPath(root: unknown, path: Path): unknown {
+  return path.reduce<unknown>(
+    (value, key) =>
+      typeof value === 'object' && value !== null
+        ? (value as Record<PropertyKey, unknown>)[key]
+        : undefined,
+    root,
+  );
+}
+
+/** Describes a value that was found; secrets stay hidden. */
+function describeFound(value: unknown, path: Path): string {
+  if (value === undefined) {
+    return 'nothing';
+  }
+  if (path.some(key => SECRET_KEYS.has(key))) {
+    return `a hidden ${typeof value}`;
+  }
+  if (typeof value === 'object' && value !== null) {
+    return Array.isArray(value) ? 'a list' : 'a mapping';
+  }
+  return (JSON.stringify(value) ?? String(value)).slice(0, MAX_FOUND_LENGTH);
+}
+
+/** Turns one issue of the schema into faults; unknown keys count one each. */
+function toFaults(issue: z.core.$ZodIssue, root: unknown): SettingsFault[] {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => ({
+      path: formatPath([...issue.path, key]),
+      found: 'an unknown key',
+      allowed: issue.message,
+    }));
+  }
+  const found = describeFound(readPath(root, issue.path), issue.path);
+  return [{path: formatPath(issue.path), found, allowed: issue.message}];
+}
+
+/** Finds values that stand twice where each must differ. */
+function findRepeats(
+  values: readonly (readonly [Path, unknown])[],
+  allowed: string,
+): readonly SettingsFault[] {
+  const seen = new Set<unknown>();
+  const faults: SettingsFault[] = [];
+  for (const [path, value] of values) {
+    if (value !== undefined && seen.has(value)) {
+      const found = `${describeFound(value, path)} a second time`;
+      faults.push({path: formatPath(path), found, allowed});
+    }
+    seen.add(value);
+  }
+  return faults;
+}
+
+/** Checks what no single entry shows: equal ports and equal user names. */
+function findConflicts(root: unknown): readonly SettingsFault[] {
+  const ports = ['caller', 'peer', 'operator'].map(key => {
+    const path = ['listen', key];
+    return [path, readPath(root, path)] as const;
+  });
+  const users = readPath(root, ['users']);
+  const names = (Array.isArray(users) ? users : []).map((_, index) => {
+    const path = ['users', index, 'name'];
+    return [path, readPath(root, path)] as const;
+  });
+  return [
+    ...findRepeats(ports, 'a port of its own for each listener'),
+    ...findRepeats(names, 'each user once'),
+  ];
+}
+
+/** Names the entries as the code does. */
+function toSettings(file: SettingsFile): Settings {
+  return {
+    host: file.host,
+    dataCentre: file.data_centre,
+    address: file.address,
+    listen: file.listen,
+    platform: file.platform,
+    endpoints: file.endpoints,
+    users: file.users.map(user => ({
+      name: user.name,
+      passwordSha1: user.password_sha1,
+      services: user.services,
+    })),
+    seeds: file.seeds.map(seed => ({
+      host: seed.host,
+      dataCentre: seed.data_centre,
+      peerAddress: seed.peer,
+    })),
+    log: file.log,
+    drainSeconds: file.drain_seconds,
+  };
+}
+
+/** Checks the text of a settings file; the error lists every fault. */
+export function parseSettings(text: string): Result<Settings, SettingsError> {
+  const document = parseDocument(text);
+  if (document.errors.length > 0) {
+    const faults = document.errors.map(err => ({
+      path: `line ${err.linePos?.[0].line ?? 1}`,
+      found: err.message.split('\n')[0] ?? err.code,
+      allowed: 'YAML with each key once',
+    }));
+    return Err(createSettingsError('not_yaml', faults));
+  }
+  const root: unknown = document.toJS();
+  const checked = SETTINGS_SCHEMA.safeParse(root);
+  const conflicts = findConflicts(root);
+  if (checked.success && conflicts.length === 0) {
+    return Ok(toSettings(checked.data));
+  }
+  const issues = checked.success ? [] : checked.error.issues;
+  const faults = issues.flatMap(issue => toFaults(issue, root));
+  return Err(createSettingsError('invalid', [...faults, ...conflicts]));
+}
+
+/** Reads and checks the settings file at `path`. */
+export function loadSettings(path: string): Result<Settings, SettingsError> {
+  try {
+    return parseSettings(readFileSync(path, 'utf8'));
+  } catch (err) {
+    const found = err instanceof Error ? err.message : String(err);
+    const allowed = 'a YAML file that this process may read';
+    const fault = {path: '(file)', found, allowed};
+    return Err(createSettingsError('unreadable', [fault]));
+  }
+}
--- /dev/null
+++ b/packages/standins/src/fault/rules.ts
@@ -0,0 +1,88 @@
+/** Rules of the fault proxy: which effects apply to a connection. */
+
+/** What a rule does to the connections that it matches. */
+export type FaultEffect =
+  | {readonly type: 'delay'; readonly ms: number}
+  | {readonly type: FaultEffectName};
+
+/** Effects without parameters. */
+type FaultEffectName =
+  'cut' | 'drop' | 'drop_up' | 'drop_down' | 'freeze' | 'forget';
+
+/** One rule. */
+export interface FaultRule {
+  /** Prefix of the source address, or `*`. */
+  readonly from: string;
+  /** Name of the link, or `*`. */
+  readonly link: string;
+  readonly effect: FaultEffect;
+}
+
+/** What the rules in force do to one connection. */
+export interface ConnectionFaults {
+  readonly isCut: boolean;
+  /** A new connection is held without being passed on. */
+  readonly isDropped: boolean;
+  /** Data from the client is discarded. */
+  readonly isSilentUp: boolean;
+  /** Data to the client is discarded. */
+  readonly isSilentDown: boolean;
+  readonly isFrozen: boolean;
+  /** Connections open when the rule came are forgotten for good. */
+  readonly isForgotten: boolean;
+  /** Delay of each direction in milliseconds. */
+  readonly delayMs: number;
+}
+
+const EFFECT_TYPES: ReadonlySet<string> = new Set([
+  'delay',
+  'cut',
+  'drop',
+  'drop_up',
+  'drop_down',
+  'freeze',
+  'forget',
+]);
+
+/** Checks rules read from the control port. Throws on an unknown effect. */
+export function checkRules(rules: readonly FaultRule[]): readonly FaultRule[] {
+  rules.forEach(rule => {
+    if (!EFFECT_TYPES.has(rule.effect.type)) {
+      throw new Error(
+        `unknown effect '${rule.effect.type}': use one of ${[...EFFECT_TYPES].join(', ')}`,
+      );
+    }
+  });
+  return rules;
+}
+
+/** Tells whether a rule applies to connections from `source` over `link`. */
+function isRuleFor(rule: FaultRule, source: string, link: string): boolean {
+  const isSource = rule.from === '*' || source.startsWith(rule.from);
+  return isSource && (rule.link === '*' || rule.link === link);
+}
+
+/** Adds up the effects of all rules that match. */
+export function evaluateRules(
+  rules: readonly FaultRule[],
+  source: string,
+  link: string,
+): ConnectionFaults {
+  const effects = rules
+    .filter(rule => isRuleFor(rule, source, link))
+    .map(rule => rule.effect);
+  const types = new Set(effects.map(effect => effect.type));
+  const delayMs = effects.reduce(
+    (sum, effect) => sum + (effect.type === 'delay' ? effect.ms : 0),
+    0,
+  );
+  return {
+    isCut: types.has('cut'),
+    isDropped: types.has('drop'),
+    isSilentUp: types.has('drop') || types.has('drop_up'),
+    isSilentDown: types.has('drop') || types.has('drop_down'),
+    isFrozen: types.has('freeze'),
+    isForgotten: types.has('forget'),
+    delayMs,
+  };
+}
--- /dev/null
+++ b/packages/telemetry/src/event_line.ts
@@ -0,0 +1,103 @@
+/** Events of the time line and their form as a line of key=value pairs. */
+
+import type {ActionOf, FieldValue} from '@lacewingroad/core';
+
+/** How severe an event is. */
+export type EventLevel = ActionOf<'record'>['level'];
+
+/** One event of the time line. */
+export interface TimelineEvent {
+  /** Counts the events of one process, from 1. */
+  readonly seq: number;
+  /** Hybrid logical clock, `WALLMS.COUNTER`. */
+  readonly stamp: string;
+  readonly host: string;
+  readonly level: EventLevel;
+  readonly event: string;
+  readonly fields: Readonly<Record<string, FieldValue>>;
+}
+
+const LEVELS: ReadonlySet<string> = new Set(['debug', 'info', 'warn', 'error']);
+/** Texts that need no quotes and cannot be mistaken for another type. */
+const PLAIN_TEXT = /^[A-Za-z_/][^\s"=\\]*$/;
+const LITERALS: Readonly<Record<string, FieldValue>> = {
+  true: true,
+  false: false,
+  null: null,
+};
+const PAIR = /([^\s=]+)=("(?:[^"\\]|\\.)*"|\S*)/g;
+const KEY_CHARS = /[\s="]/g;
+
+/** Returns a value as it stands in a line. */
+function formatValue(value: FieldValue): string {
+  if (typeof value !== 'string') {
+    return String(value);
+  }
+  const isPlain = PLAIN_TEXT.test(value) && !Object.hasOwn(LITERALS, value);
+  return isPlain ? value : JSON.stringify(value);
+}
+
+/** Reads a value of a line. */
+function parseValue(text: string): FieldValue {
+  if (text.startsWith('"')) {
+    return parseQuoted(text);
+  }
+  if (Object.hasOwn(LITERALS, text)) {
+    return LITERALS[text] ?? null;
+  }
+  const number = Number(text);
+  return text !== '' && Number.isFinite(number) ? number : text;
+}
+
+/** Reads a text in quotes; one that is cut short stays as it is. */
+function parseQuoted(text: string): FieldValue {
+  try {
+    return String(JSON.parse(text));
+  } catch {
+    return text;
+  }
+}
+
+/** Writes an event as one line of key=value pairs, without a line break. */
+export function formatEventLine(event: TimelineEvent): string {
+  const pairs: readonly (readonly [string, FieldValue])[] = [
+    ['level', event.level],
+    ['host', event.host],
+    ['seq', event.seq],
+    ['event', event.event],
+    ...Object.entries(event.fields),
+  ];
+  const texts = pairs.map(
+    ([key, value]) => `${key.replace(KEY_CHARS, '_')}=${formatValue(value)}`,
+  );
+  return [`stamp=${event.stamp}`, ...texts].join(' ');
+}
+
+/** Reads a line that formatEventLine wrote; null for any other line. */
+export function parseEventLine(line: string): TimelineEvent | null {
+  const pairs = [...line.matchAll(PAIR)].map(match => ({
+    key: match[1] ?? '',
+    text: match[2] ?? '',
+  }));
+  const [stamp, level, host, seq, event, ...rest] = pairs;
+  const isEvent =
+    stamp?.key === 'stamp' &&
+    level?.key === 'level' &&
+    host?.key === 'host' &&
+    seq?.key === 'seq' &&
+    event?.key === 'event' &&
+    LEVELS.has(level.text);
+  if (!isEvent) {
+    return null;
+  }
+  return {
+    seq: Number(seq.text),
+    stamp: stamp.text,
+    host: String(parseValue(host.text)),
+    level: level.text as EventLevel,
+    event: String(parseValue(event.text)),
+    fields: Object.fromEntries(
+      rest.map(({key, text}) => [key, parseValue(text)]),
+    ),
+  };
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,16 @@
+/** Events, logs, metrics and the time line over all hosts. */
+
+export {createHlc, MAX_STAMP_LEAD_MS} from './hlc.js';
+export type {Hlc} from './hlc.js';
+export {formatEventLine, parseEventLine} from './event_line.js';
+export type {EventLevel, TimelineEvent} from './event_line.js';
+export type {GaugeDefinition, GaugeSample} from './gauges.js';
+export type {Metrics} from './metrics.js';
+export {
+  createRecorder,
+  createStdoutDestination,
+  DEFAULT_RING_CAPACITY,
+} from './recorder.js';
+export type {LogDestination, Recorder, RecorderConfig} from './recorder.js';
+export {mergeTimeline} from './timeline.js';
+export type {TimelineFilter} from './timeline.js';
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,143 @@
+/** Metrics of one entry host, counted from the events that it records. */
+
+import type {FieldValue} from '@lacewingroad/core';
+import {registerGauge} from './gauges.js';
+import type {GaugeDefinition} from './gauges.js';
+import {collectDefaultMetrics, Counter, Histogram, Registry} from 'prom-client';
+
+type Fields = Readonly<Record<string, FieldValue>>;
+type EventCounter = (fields: Fields) => void;
+
+/** Upper bounds of the latency buckets, in seconds. */
+const LATENCY_BUCKETS_SECONDS = [
+  0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 15,
+];
+/** Distinct values of one label; callers choose kinds, so bound them. */
+const MAX_LABEL_VALUES = 200;
+/** The label value that stands for all beyond the bound. */
+const OTHER_LABEL = 'other';
+const MS_PER_SECOND = 1_000;
+/**
+ * Interval at which the delay of the event loop is sampled, in milliseconds;
+ * each sample wakes the process. A loop without delay shows this value.
+ */
+const EVENT_LOOP_SAMPLE_MS = 200;
+
+/** The metrics of one entry host, in a registry of their own. */
+export interface Metrics {
+  /** Counts one recorded event. */
+  readonly count: (event: string, fields: Fields) => void;
+  /** Adds a gauge that is read when metrics are. */
+  readonly registerGauge: (definition: GaugeDefinition) => void;
+  /** Returns all metrics in the Prometheus text format. */
+  readonly readText: () => Promise<string>;
+  readonly contentType: string;
+}
+
+/** Returns a function that keeps a label to a bounded set of values. */
+function createLabel(): (value: FieldValue | undefined) => string {
+  const known = new Set<string>();
+  return value => {
+    const label = value == null ? 'none' : String(value);
+    if (known.has(label)) {
+      return label;
+    }
+    if (known.size >= MAX_LABEL_VALUES) {
+      return OTHER_LABEL;
+    }
+    known.add(label);
+    return label;
+  };
+}
+
+/** Creates the counter of finished requests. */
+function createRequestCounter(registry: Registry): EventCounter {
+  const registers = [registry];
+  const service = createLabel();
+  const kind = createLabel();
+  const rank = createLabel();
+  const outcome = createLabel();
+  const role = createLabel();
+  const requests = new Counter({
+    name: 'lacewingroad_requests_total',
+    help: 'Requests that ended, by outcome.',
+    labelNames: ['service', 'kind', 'rank', 'outcome'],
+    registers,
+  });
+  const served = new Counter({
+    name: 'lacewingroad_requests_by_role_total',
+    help: 'Requests done, by role of the endpoint that served them.',
+    labelNames: ['service', 'access', 'endpoint_role'],
+    registers,
+  });
+  const inTarget = new Counter({
+    name: 'lacewingroad_requests_in_target_total',
+    help: 'Requests done within the target time of their row.',
+    labelNames: ['service', 'kind', 'rank'],
+    registers,
+  });
+  const latency = new Histogram({
+    name: 'lacewingroad_request_latency_seconds',
+    help: 'Time from receiving a request to answering it.',
+    labelNames: ['service', 'rank'],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers,
+  });
+  return fields => {
+    const work = {
+      service: service(fields['service']),
+      kind: kind(fields['kind']),
+      rank: rank(fields['rank']),
+    };
+    requests.inc({...work, outcome: outcome(fields['outcome'])});
+    const endpointRole = role(fields['endpoint_role']);
+    const access = fields['is_write'] === true ? 'write' : 'read';
+    if (fields['outcome'] === 'done') {
+      const {service} = work;
+      served.inc({service, access, endpoint_role: endpointRole});
+    }
+    if (fields['is_in_time'] === true) {
+      inTarget.inc(work);
+    }
+    const latencyMs = fields['latency_ms'];
+    if (typeof latencyMs === 'number') {
+      const labels = {service: work.service, rank: work.rank};
+      latency.observe(labels, latencyMs / MS_PER_SECOND);
+    }
+  };
+}
+
+/**
+ * Creates the metrics of one entry host. `withProcess` adds those of the
+ * process itself (processor time, memory, event loop), once per process.
+ */
+export function createMetrics(withProcess: boolean): Metrics {
+  const registry = new Registry();
+  const eventLabel = createLabel();
+  const events = new Counter({
+    name: 'lacewingroad_events_total',
+    help: 'Events of the time line, by name.',
+    labelNames: ['event'],
+    registers: [registry],
+  });
+  if (withProcess) {
+    collectDefaultMetrics({
+      register: registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS,
+    });
+  }
+  const counters: Readonly<Record<string, EventCounter>> = {
+    request_done: createRequestCounter(registry),
+  };
+  return {
+    count: (event, fields) => {
+      events.inc({event: eventLabel(event)});
+      if (Object.hasOwn(counters, event)) {
+        counters[event]?.(fields);
+      }
+    },
+    registerGauge: definition => registerGauge(registry, definition),
+    readText: () => registry.metrics(),
+    contentType: registry.contentType,
+  };
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,46 @@
+import {readdirSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {defineConfig} from 'vitest/config';
+
+const root = fileURLToPath(new URL('.', import.meta.url));
+
+/** Unit tests read the sources; integration tests start the built programs. */
+const alias = Object.fromEntries(
+  readdirSync(`${root}packages`).map(name => [
+    `@lacewingroad/${name}`,
+    `${root}packages/${name}/src/index.ts`,
+  ]),
+);
+
+const UNIT_TIMEOUT_MS = 30_000;
+const INTEGRATION_TIMEOUT_MS = 120_000;
+
+export default defineConfig({
+  resolve: {alias},
+  test: {
+    projects: [
+      {
+        extends: true,
+        test: {
+          name: 'unit',
+          include: ['packages/*/src/__tests__/unit/**/*.test.ts'],
+          testTimeout: UNIT_TIMEOUT_MS,
+          hookTimeout: UNIT_TIMEOUT_MS,
+          sequence: {groupOrder: 0},
+        },
+      },
+      {
+        extends: true,
+        test: {
+          name: 'integration',
+          include: ['packages/*/src/__tests__/integration/**/*.test.ts'],
+          testTimeout: INTEGRATION_TIMEOUT_MS,
+          hookTimeout: INTEGRATION_TIMEOUT_MS,
+          maxWorkers: 2,
+          fileParallelism: true,
+          sequence: {groupOrder: 1},
+        },
+      },
+    ],
+  },
+});
