--- a/packages/daemon/src/__tests__/integration/silent_connections.test.ts
+++ b/packages/daemon/src/__tests__/integration/silent_connections.test.ts
@@ -5,6 +5,7 @@
 import type {FaultRule} from '@lacewingroad/standins';
 import {outcome, rows, startSessionSite, waitMs} from './session_site.js';
 import type {SessionSite} from './session_site.js';
+import {LONG} from './long.js';
 
 const NOT_RUN = 9101;
 const UNKNOWN = 9102;
@@ -121,6 +122,7 @@
 describe('answers that come late', () => {
   it.each(['endpoint:g1-a', 'endpoint:g1-b', 'peer:a-1', 'peer:b-1'])(
     'over %s reach no other request',
+    LONG,
     async link => {
       const hosts = ['a-1', 'b-1', 'c-1'];
       let count = 0;
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -18,6 +18,12 @@
 export default defineConfig({
   resolve: {alias},
   test: {
+    tags: [
+      {
+        name: 'long',
+        description: 'Stories that CI leaves to `npm run test:long`.',
+      },
+    ],
     projects: [
       {
         extends: true,
@@ -36,7 +42,7 @@
           include: ['packages/*/src/__tests__/integration/**/*.test.ts'],
           testTimeout: INTEGRATION_TIMEOUT_MS,
           hookTimeout: INTEGRATION_TIMEOUT_MS,
-          maxWorkers: 2,
+          maxWorkers: 4,
           fileParallelism: true,
           sequence: {groupOrder: 1},
         },
