Bound the log's volume and write the whole story of a failed request

Each kind of event has so many lines a second (setting log.lines_per_second, 100); what is left out is counted in the log and in a metric. What is below the level is kept per request and written once the request fails. The test harness sets no limit, since its checks count lines.

--- a/packages/daemon/src/__tests__/unit/wire.test.ts
+++ b/packages/daemon/src/__tests__/unit/wire.test.ts
@@ -23,7 +23,7 @@
   endpoints: {user: 'proxy', password: ''},
   users: [],
   seeds: [],
-  log: {level: 'info'},
+  log: {level: 'info', linesPerSecond: 0},
   drainSeconds: 1,
 };
 
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -100,6 +100,7 @@
     host,
     hlc,
     level: settings.log.level,
+    linesPerSecond: settings.log.linesPerSecond,
     destination: options.destination ?? createStdoutDestination(),
     withProcessMetrics: options.withProcessMetrics ?? false,
   });
--- a/packages/settings/src/load_settings.ts
+++ b/packages/settings/src/load_settings.ts
@@ -126,7 +126,10 @@
       dataCentre: seed.data_centre,
       peerAddress: seed.peer,
     })),
-    log: file.log,
+    log: {
+      level: file.log.level,
+      linesPerSecond: file.log.lines_per_second,
+    },
     drainSeconds: file.drain_seconds,
   };
 }
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -69,6 +69,12 @@
 });
 
 const DRAIN_ALLOWED = `seconds, from 0 to ${MAX_DRAIN_SECONDS}`;
+/** Lines a second of one kind of event unless the file says it. */
+const DEFAULT_LINES_PER_SECOND = 100;
+/** Most lines a second of one kind of event that the file may allow. */
+const MAX_LINES_PER_SECOND = 100_000;
+
+const LINES_ALLOWED = `lines a second of each kind of event, from 1 to ${MAX_LINES_PER_SECOND}, or 0 for no limit`;
 const LEVEL_ALLOWED = `one of ${LOG_LEVELS.join(', ')}`;
 const USERS_ALLOWED = 'a list of users that is not empty';
 const PASSWORD_ALLOWED = 'a text, which may be empty';
@@ -85,8 +91,16 @@
   endpoints: strict({user: text, password: z.string(PASSWORD_ALLOWED)}),
   users: z.array(user, USERS_ALLOWED).min(1, USERS_ALLOWED),
   seeds: z.array(seed, SEEDS_ALLOWED).default([]),
-  log: strict({level: z.enum(LOG_LEVELS, LEVEL_ALLOWED)}).default({
+  log: strict({
+    level: z.enum(LOG_LEVELS, LEVEL_ALLOWED).default('info'),
+    lines_per_second: z
+      .int(LINES_ALLOWED)
+      .min(0, LINES_ALLOWED)
+      .max(MAX_LINES_PER_SECOND, LINES_ALLOWED)
+      .default(DEFAULT_LINES_PER_SECOND),
+  }).default({
     level: 'info',
+    lines_per_second: DEFAULT_LINES_PER_SECOND,
   }),
   drain_seconds: z
     .number(DRAIN_ALLOWED)
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -43,7 +43,11 @@
   readonly users: readonly UserSettings[];
   /** Other hosts to ask at a start during an outage of the platform. */
   readonly seeds: readonly SeedSettings[];
-  readonly log: {readonly level: LogLevel};
+  readonly log: {
+    readonly level: LogLevel;
+    /** Lines a second of each kind of event; 0 for no limit. */
+    readonly linesPerSecond: number;
+  };
   /** Time that a graceful shutdown may take, in seconds. */
   readonly drainSeconds: number;
 }
--- a/packages/standins/src/harness/entry_settings.ts
+++ b/packages/standins/src/harness/entry_settings.ts
@@ -56,6 +56,7 @@
         services: ['*'],
       },
     ],
-    log: {level: logLevel},
+    // Checks count lines, so none may be left out.
+    log: {level: logLevel, lines_per_second: 0},
   });
 }
--- a/packages/telemetry/src/__tests__/unit/recorder.test.ts
+++ b/packages/telemetry/src/__tests__/unit/recorder.test.ts
@@ -6,10 +6,10 @@
   formatEventLine,
   parseEventLine,
 } from '@lacewingroad/telemetry';
-import type {TimelineEvent} from '@lacewingroad/telemetry';
+import type {EventLevel, TimelineEvent} from '@lacewingroad/telemetry';
 
 /** Creates a recorder that keeps its lines. */
-function createKeeping(ringCapacity = 10) {
+function createKeeping(ringCapacity = 10, linesPerSecond = 0) {
   const lines: string[] = [];
   const recorder = createRecorder({
     host: 'a-1',
@@ -22,6 +22,7 @@
       flushSync: () => undefined,
     },
     ringCapacity,
+    linesPerSecond,
   });
   return {recorder, lines};
 }
@@ -110,6 +111,84 @@
   });
 });
 
+/** Records an event that tells of a request. */
+function recordStep(
+  recorder: ReturnType<typeof createKeeping>['recorder'],
+  level: EventLevel,
+  event: string,
+  request: string,
+): void {
+  recorder.record({type: 'record', level, event, fields: {request}});
+}
+
+describe('the story of a request', () => {
+  it('is written whole once it fails, earlier events first', () => {
+    const {recorder, lines} = createKeeping();
+    recordStep(recorder, 'debug', 'request_sent', 'r1');
+    recordStep(recorder, 'debug', 'request_sent', 'r2');
+    recordStep(recorder, 'debug', 'request_waits', 'r1');
+    recordStep(recorder, 'warn', 'request_failed', 'r1');
+    const events = lines.map(line => parseEventLine(line.trim())!);
+    expect(events.map(({event, fields}) => [event, fields['request']])).toEqual(
+      [
+        ['request_sent', 'r1'],
+        ['request_waits', 'r1'],
+        ['request_failed', 'r1'],
+      ],
+    );
+  });
+
+  it('is forgotten once it ends well', () => {
+    const {recorder, lines} = createKeeping();
+    recordStep(recorder, 'debug', 'request_sent', 'r1');
+    recordStep(recorder, 'debug', 'request_done', 'r1');
+    recordStep(recorder, 'warn', 'request_failed', 'r1');
+    expect(lines).toHaveLength(1);
+  });
+
+  it('keeps its beginning and its end where it is long', () => {
+    const {recorder, lines} = createKeeping(100);
+    for (let step = 0; step < 100; step++) {
+      recordStep(recorder, 'debug', `step_${step}`, 'r1');
+    }
+    recordStep(recorder, 'warn', 'request_failed', 'r1');
+    expect(lines.length).toBeLessThan(30);
+    expect(lines[0]).toContain('event=step_0 ');
+    expect(lines.at(-2)).toContain('event=step_99 ');
+  });
+});
+
+describe('the volume of the log', () => {
+  const LIMIT = 5;
+
+  it('is bounded for each kind of event, and what is left out is counted', async () => {
+    const {recorder, lines} = createKeeping(1_000, LIMIT);
+    for (let count = 0; count < 100; count++) {
+      recordStep(recorder, 'info', 'request_refused', `r${count}`);
+    }
+    recordStep(recorder, 'warn', 'request_unknown', 'x1');
+    expect(lines).toHaveLength(LIMIT + 1);
+    expect(lines.at(-1)).toContain('request=x1');
+    recorder.flush();
+    expect(lines.at(-1)).toContain(
+      'event=lines_suppressed suppressed=request_refused lines=95',
+    );
+    const text = await recorder.metrics.readText();
+    expect(text).toContain(
+      'lacewingroad_log_lines_lost_total{reason="suppressed"} 95',
+    );
+  });
+
+  it('does not count what a suppressed failure leaves behind twice', () => {
+    const {recorder, lines} = createKeeping(1_000, 1);
+    recordStep(recorder, 'info', 'request_refused', 'r1');
+    recordStep(recorder, 'debug', 'request_sent', 'r2');
+    recordStep(recorder, 'info', 'request_refused', 'r2');
+    recordStep(recorder, 'info', 'request_refused', 'r2');
+    expect(lines).toHaveLength(1);
+  });
+});
+
 describe('parseEventLine', () => {
   it('reads what formatEventLine writes', () => {
     const event: TimelineEvent = {
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -27,6 +27,10 @@
 export interface Metrics {
   /** Counts one recorded event. */
   readonly count: (event: string, fields: Fields) => void;
+  /** Counts log lines that the limit of their kind left out. */
+  readonly countSuppressedLines: (lines: number) => void;
+  /** Counts log lines that a slow reader of the log cost. */
+  readonly countDroppedLines: (lines: number) => void;
   /** Adds a gauge that is read when metrics are. */
   readonly registerGauge: (definition: GaugeDefinition) => void;
   /** Returns all metrics in the Prometheus text format. */
@@ -120,6 +124,12 @@
     labelNames: ['event'],
     registers: [registry],
   });
+  const lostLines = new Counter({
+    name: 'lacewingroad_log_lines_lost_total',
+    help: 'Log lines that were not written: over the limit of their kind, or dropped for a slow reader.',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
   if (withProcess) {
     collectDefaultMetrics({
       register: registry,
@@ -136,6 +146,8 @@
         counters[event]?.(fields);
       }
     },
+    countSuppressedLines: lines => lostLines.inc({reason: 'suppressed'}, lines),
+    countDroppedLines: lines => lostLines.inc({reason: 'slow_reader'}, lines),
     registerGauge: definition => registerGauge(registry, definition),
     readText: () => registry.metrics(),
     contentType: registry.contentType,
--- a/packages/telemetry/src/recorder.ts
+++ b/packages/telemetry/src/recorder.ts
@@ -6,12 +6,20 @@
 import type {EventLevel, TimelineEvent} from './event_line.js';
 import {createEventRing} from './event_ring.js';
 import type {Hlc} from './hlc.js';
+import {createLineLimit} from './line_limit.js';
+import {createRequestTrails} from './request_trails.js';
 import {createMetrics} from './metrics.js';
 import type {Metrics} from './metrics.js';
 
 /** Events that a process keeps for /events unless told otherwise. */
 export const DEFAULT_RING_CAPACITY = 5_000;
 
+/** Requests whose earlier events are kept: a few seconds of a busy host. */
+const MAX_TRAILS = 5_000;
+
+/** Ends of a request whose story nobody will ask for. */
+const QUIET_END = 'request_done';
+
 /** Log bytes that wait for a slow reader; lines beyond are dropped. */
 const MAX_BUFFERED_LOG_BYTES = 8 * 1024 * 1024;
 
@@ -20,14 +28,21 @@
   readonly write: (line: string) => void;
   /** Writes out at once what is still buffered. */
   readonly flushSync: () => void;
+  /** Calls the listener with each count of lines that were dropped. */
+  readonly onDrop?: (listener: (lines: number) => void) => void;
 }
 
 /** What a recorder is made of. */
 export interface RecorderConfig {
   readonly host: string;
   readonly hlc: Hlc;
-  /** Events below it are counted, but neither logged nor kept. */
+  /**
+   * Events below it are counted, but logged and kept only where they belong to
+   * a request that fails.
+   */
   readonly level: EventLevel;
+  /** Lines a second of each kind of event; 0 for no limit. */
+  readonly linesPerSecond: number;
   readonly destination: LogDestination;
   readonly ringCapacity?: number;
   /** Whether to add the metrics of the process itself. */
@@ -45,6 +60,8 @@
   readonly flush: () => void;
 }
 
+type Fields = Readonly<Record<string, FieldValue>>;
+
 const LEVEL_ORDER: Readonly<Record<EventLevel, number>> = {
   debug: 0,
   info: 1,
@@ -66,6 +83,9 @@
       stream.write(line);
     },
     flushSync: () => stream.flushSync(),
+    onDrop: listener => {
+      stream.on('drop', () => listener(1));
+    },
   };
 }
 
@@ -83,35 +103,86 @@
   };
 }
 
+/** Returns the request that an event tells of, or null. */
+function readRequest(fields: Fields): string | null {
+  const {request} = fields;
+  return typeof request === 'string' ? request : null;
+}
+
 /** Creates the recorder of one entry host. */
 export function createRecorder(cfg: RecorderConfig): Recorder {
   const ring = createEventRing(cfg.ringCapacity ?? DEFAULT_RING_CAPACITY);
+  const trails = createRequestTrails(MAX_TRAILS);
+  const limit = createLineLimit(cfg.linesPerSecond);
   const metrics = createMetrics(cfg.withProcessMetrics ?? false);
   const stream = createLineStream(cfg.destination);
-  const logger = pino({level: cfg.level, base: null, timestamp: false}, stream);
+  const logger = pino({level: 'debug', base: null, timestamp: false}, stream);
   let seq = 0;
+  cfg.destination.onDrop?.(lines => metrics.countDroppedLines(lines));
 
-  const keep = (
+  const create = (
     level: EventLevel,
     event: string,
-    fields: Readonly<Record<string, FieldValue>>,
-  ): void => {
+    fields: Fields,
+  ): TimelineEvent => {
     seq++;
     const stamp = cfg.hlc.tick();
-    const kept = {seq, stamp, host: cfg.host, level, event, fields};
-    ring.push(kept);
-    logger[level](kept);
+    return {seq, stamp, host: cfg.host, level, event, fields};
+  };
+
+  const write = (event: TimelineEvent): void => {
+    ring.push(event);
+    logger[event.level](event);
+  };
+
+  /** Tells how many lines were left out, once their second is over. */
+  const writeSuppressed = (nowMs: number): void => {
+    for (const {level, event, count} of limit.takeSuppressed(nowMs)) {
+      const fields = {suppressed: event, lines: count};
+      write(create(level, 'lines_suppressed', fields));
+    }
+  };
+
+  const log = (event: TimelineEvent, nowMs: number): void => {
+    const request = readRequest(event.fields);
+    const trail = request === null ? [] : trails.take(request);
+    writeSuppressed(nowMs);
+    if (!limit.take(event.level, event.event, nowMs)) {
+      metrics.countSuppressedLines(1 + trail.length);
+      return;
+    }
+    trail.forEach(write);
+    write(event);
+  };
+
+  /** Keeps an event below the level for the case that its request fails. */
+  const keepQuietly = (event: TimelineEvent): void => {
+    const request = readRequest(event.fields);
+    if (request === null) {
+      return;
+    }
+    if (event.event === QUIET_END) {
+      trails.take(request);
+      return;
+    }
+    trails.add(request, event);
   };
 
   return {
     record: ({level, event, fields}) => {
       metrics.count(event, fields);
-      if (LEVEL_ORDER[level] >= LEVEL_ORDER[cfg.level]) {
-        keep(level, event, fields);
+      const created = create(level, event, fields);
+      if (LEVEL_ORDER[level] < LEVEL_ORDER[cfg.level]) {
+        keepQuietly(created);
+        return;
       }
+      log(created, cfg.hlc.wallMs());
     },
     readEvents: ring.readAfter,
     metrics,
-    flush: () => cfg.destination.flushSync(),
+    flush: () => {
+      writeSuppressed(Infinity);
+      cfg.destination.flushSync();
+    },
   };
 }
