One client for the platform; lapsed host entries count until hosts are back

A host whose entry is gone after an outage counts for 2.5 s more (two seconds stated by the users, one read to learn of it), then it is gone.

--- a/packages/bench/src/slopes/lone_host.ts
+++ b/packages/bench/src/slopes/lone_host.ts
@@ -226,7 +226,12 @@
             revision,
             changes: listSince(since),
           }
-        : {type: 'platform_read_failed', sentAt},
+        : {
+            type: 'platform_read_failed',
+            sentAt,
+            kind: 'refused',
+            detail: 'the platform is down',
+          },
     );
   };
 
--- a/packages/cli/src/platform_port.ts
+++ b/packages/cli/src/platform_port.ts
@@ -1,8 +1,7 @@
 /** The platform port on the client of @lacewingroad/platform. */
 
-import type {UpdateResult} from '@lacewingroad/core';
-import {PlatformClient} from '@lacewingroad/platform';
-import type {PlatformError} from '@lacewingroad/platform';
+import {PlatformClient, toUpdateResult} from '@lacewingroad/platform';
+import type {PlatformReadError} from '@lacewingroad/platform';
 import type {Runtime} from '@lacewingroad/runtime';
 import type {CliError} from './cli_error.js';
 import type {PlatformPort} from './ports.js';
@@ -37,20 +36,13 @@
         value,
         getDeadline(),
       );
-      return res.ok ? {type: 'updated', ...res.val} : toUpdateResult(res.val);
+      return toUpdateResult(res);
     },
     close: () => client.close(),
   };
 }
 
-function toUpdateResult(err: PlatformError): UpdateResult {
-  if (err.kind === 'conflict') {
-    return {type: 'conflict', version: err.standing.version};
-  }
-  return {type: err.kind === 'refused' ? 'refused' : 'unknown'};
-}
-
-function toCliError(err: PlatformError): CliError {
+function toCliError(err: PlatformReadError): CliError {
   return {
     kind: 'unreachable',
     message:
--- a/packages/core/src/__tests__/unit/control/control_story.ts
+++ b/packages/core/src/__tests__/unit/control/control_story.ts
@@ -70,7 +70,7 @@
   endpointTerm: number | null = null;
   /** Hosts that promise whatever they are asked. */
   promisers: readonly string[] = ['a-1', 'b-1', 'c-1'];
-  private readonly hosts: readonly string[];
+  private hosts: readonly ObjectChange[];
   private object: GroupObject;
   private version = 1;
   private timers: {at: number; timer: TimerKey}[] = [];
@@ -87,7 +87,8 @@
       isPlatformUp?: boolean;
     } = {},
   ) {
-    this.hosts = part.hosts ?? ['a-1', 'b-1', 'c-1'];
+    const hosts = part.hosts ?? ['a-1', 'b-1', 'c-1'];
+    this.hosts = hosts.map(listHost);
     this.now = part.startedAt ?? 0;
     this.isPlatformUp = part.isPlatformUp ?? true;
     this.object = part.group ?? createGroup();
@@ -96,7 +97,7 @@
       dataCentre: host.charAt(0),
       incarnation: 'i',
       startedAt: this.now,
-      seeds: (part.seeds ?? this.hosts).map(createHost),
+      seeds: (part.seeds ?? hosts).map(createHost),
     });
     this.feed({type: 'started'});
   }
@@ -128,7 +129,7 @@
       this.answerPromise(action.host, action.msg);
     }
     if (action.type === 'read_platform') {
-      this.answerRead();
+      this.answerRead(action.since);
     }
     if (action.type === 'probe') {
       this.answerProbe(action.endpoint);
@@ -144,10 +145,11 @@
     }
   }
 
-  private answerRead(): void {
+  private answerRead(since: number): void {
     const sentAt = this.now;
     if (!this.isPlatformUp) {
-      this.feed({type: 'platform_read_failed', sentAt});
+      const reason = {kind: 'refused', detail: 'is down'} as const;
+      this.feed({type: 'platform_read_failed', sentAt, ...reason});
       return;
     }
     const {version, object: value} = this;
@@ -156,7 +158,7 @@
       type: 'platform_read',
       sentAt,
       revision: version,
-      changes: [...this.hosts.map(listHost), change],
+      changes: [...this.hosts, change].filter(each => each.revision > since),
     });
   }
 
@@ -199,6 +201,26 @@
     this.version += 1;
   }
 
+  /** Removes a host's entry from the platform. */
+  lapseHost(id: string): void {
+    this.changeHost(id, null);
+  }
+
+  /** Enters a host into the platform again. */
+  relistHost(id: string): void {
+    this.changeHost(id, createHost(id));
+  }
+
+  private changeHost(id: string, value: HostObject | null): void {
+    this.version += 1;
+    const revision = this.version;
+    this.hosts = this.hosts.map(change =>
+      change.key === `hosts/${id}`
+        ? {...change, version: change.version + 1, revision, value}
+        : change,
+    );
+  }
+
   advance(ms: number): void {
     const until = this.now + ms;
     while (this.now < until) {
--- a/packages/core/src/control/constants.ts
+++ b/packages/core/src/control/constants.ts
@@ -21,6 +21,18 @@
 /** Time after which a platform call is given up. */
 export const PLATFORM_TIMEOUT_MS = 3_000;
 
+/**
+ * Age of a view, in milliseconds, from which the platform counts as having been
+ * away: four reads of a relay that failed.
+ */
+export const PLATFORM_AWAY_MS = 4 * PLATFORM_READ_INTERVAL_MS;
+
+/**
+ * Time that hosts have to enter the platform's list again after its return: the
+ * two seconds that the platform states, and one read to learn of it.
+ */
+export const HOST_RETURN_MS = 2_000 + PLATFORM_READ_INTERVAL_MS;
+
 /** A relay stops reading once nobody has asked it for this long. */
 export const RELAY_IDLE_MS = 5_000;
 
--- a/packages/core/src/control/state.ts
+++ b/packages/core/src/control/state.ts
@@ -29,6 +29,13 @@
   readonly groups: ImmutableMap<GroupId, Versioned<GroupObject>>;
   readonly tables: ImmutableMap<ServiceId, Versioned<TableObject>>;
   readonly hosts: ImmutableMap<HostId, Versioned<HostObject>>;
+  /**
+   * Hosts that count although their entries lapsed while the platform was
+   * away, and the instant from which they are taken as gone.
+   */
+  readonly lapsed: ImmutableMap<HostId, Instant>;
+  /** When the platform was last found to be back, or null. */
+  readonly platformBackAt: Instant | null;
   /** Versions of deleted objects by key, kept for hosts that still have them. */
   readonly deleted: ImmutableMap<string, Versioned<null>>;
   /** When each table version came into force here. */
@@ -52,6 +59,8 @@
   /** When the process last went on after a pause, or null. */
   readonly resumedAt: Instant | null;
   readonly followers: ImmutableMap<HostId, Follower>;
+  /** Since when reads of the platform fail, or null while they succeed. */
+  readonly platformLostAt: Instant | null;
   /** A platform read is in progress until this instant, or null. */
   readonly readDeadline: Instant | null;
   /** The next platform read is due at this instant, or null when idle. */
@@ -286,6 +295,8 @@
       groups: ImmutableMap(),
       tables: ImmutableMap(),
       hosts: ImmutableMap(),
+      lapsed: ImmutableMap(),
+      platformBackAt: null,
       deleted: ImmutableMap(),
       tablesInForceSince: ImmutableMap(),
     },
@@ -296,6 +307,7 @@
       turns: 0,
       resumedAt: null,
       followers: ImmutableMap(),
+      platformLostAt: null,
       readDeadline: null,
       nextReadAt: null,
     },
--- a/packages/core/src/control/sync.ts
+++ b/packages/core/src/control/sync.ts
@@ -15,13 +15,19 @@
 import {hasPaused} from './facts.js';
 import {applyRelayObservations} from './membership.js';
 import {chooseInTurn, listSources} from './sources.js';
-import {applyChanges, listChangesSince, markFresh} from './view.js';
+import {
+  applyChanges,
+  dropLapsedHost,
+  listChangesSince,
+  markFresh,
+} from './view.js';
 import type {RelaySlice} from './state.js';
 import type {Action} from '../engine/action.js';
 import type {Blackboard} from '../engine/blackboard.js';
 import {chain, unchanged} from '../engine/engine.js';
 import {createMessageHandler} from '../engine/message_handlers.js';
 import type {Change, Context, Feature, Handler} from '../engine/engine.js';
+import type {EventOf} from '../engine/event.js';
 import type {HostId, Instant} from '../model/ids.js';
 import type {
   ChangedMessage,
@@ -103,6 +109,9 @@
   if (event.timer.name === 'platform_poll') {
     return readPlatform(board, ctx.now);
   }
+  if (event.timer.name === 'host_lapsed') {
+    return dropLapsedHost(board, event.timer.host, ctx.now);
+  }
   if (event.timer.name !== 'sync' || board.self.isDrained) {
     return unchanged(board);
   }
@@ -234,16 +243,59 @@
   });
 }
 
+/** Notes that reads of the platform succeed again. */
+function noteRegained(board: Blackboard, now: Instant): Change {
+  const {platformLostAt} = board.relay;
+  if (platformLostAt === null) {
+    return unchanged(board);
+  }
+  return unchanged(setRelay(board, {platformLostAt: null}), {
+    type: 'record',
+    level: 'info',
+    event: 'platform_regained',
+    fields: {lost_ms: Math.round(now - platformLostAt)},
+  });
+}
+
+/** Notes that a read of the platform failed; tells the first of a row. */
+function noteLost(
+  board: Blackboard,
+  event: EventOf<'platform_read_failed'>,
+  now: Instant,
+): Change {
+  if (board.relay.platformLostAt !== null) {
+    return unchanged(board);
+  }
+  const {freshAt, revision} = board.view;
+  return unchanged(setRelay(board, {platformLostAt: now}), {
+    type: 'record',
+    level: 'warn',
+    event: 'platform_lost',
+    fields: {
+      kind: event.kind,
+      detail: event.detail,
+      view_revision: revision,
+      view_age_ms: freshAt === null ? null : Math.round(now - freshAt),
+    },
+  });
+}
+
 const handlePlatformRead: Handler<'platform_read'> = (board, event, ctx) =>
   chain(
     board,
+    current => noteRegained(current, ctx.now),
     current => applyChanges(current, event.changes, ctx.now),
-    current => unchanged(markFresh(current, event.revision, event.sentAt)),
+    current =>
+      unchanged(markFresh(current, event.revision, event.sentAt, ctx.now)),
     current => planNextRead(current, event.sentAt, ctx.now),
   );
 
 const handleReadFailed: Handler<'platform_read_failed'> = (board, event, ctx) =>
-  planNextRead(board, event.sentAt, ctx.now);
+  chain(
+    board,
+    current => noteLost(current, event, ctx.now),
+    current => planNextRead(current, event.sentAt, ctx.now),
+  );
 
 function applySynced(
   board: Blackboard,
@@ -258,7 +310,7 @@
   return chain(
     setRelay(board, {asks: board.relay.asks.delete(msg.ask)}),
     current => applyChanges(current, msg.changes, now),
-    current => unchanged(markFresh(current, msg.revision, freshAt)),
+    current => unchanged(markFresh(current, msg.revision, freshAt, now)),
     current =>
       applyRelayObservations(current, msg.silentHosts, msg.drainingHosts, now),
   );
--- a/packages/core/src/control/view.ts
+++ b/packages/core/src/control/view.ts
@@ -1,6 +1,7 @@
 /** The view: the platform's objects as this host last learned them. */
 
 import type {Map as ImmutableMap} from 'immutable';
+import {HOST_RETURN_MS, PLATFORM_AWAY_MS} from './constants.js';
 import type {Versioned, ViewSlice} from './state.js';
 import {sortByRevision} from './view_index.js';
 import type {Action} from '../engine/action.js';
@@ -8,7 +9,7 @@
 import type {Change} from '../engine/engine.js';
 import type {GroupObject} from '../model/group.js';
 import type {HostObject} from '../model/host.js';
-import type {Instant} from '../model/ids.js';
+import type {HostId, Instant} from '../model/ids.js';
 import type {ObjectChange} from '../model/message.js';
 import type {TableObject} from '../model/table.js';
 
@@ -72,6 +73,80 @@
   return {...table, value: {...table.value, history: []}};
 }
 
+/** Tells whether a view is so old that the platform must have been away. */
+function isFromBeforeOutage(view: ViewSlice, now: Instant): boolean {
+  return view.freshAt !== null && now - view.freshAt > PLATFORM_AWAY_MS;
+}
+
+/**
+ * Returns until when a host counts whose entry is gone, or null where it is
+ * gone at once. Entries lapse while the platform is away; hosts that run enter
+ * themselves again soon after its return.
+ */
+function findGraceEnd(view: ViewSlice, now: Instant): Instant | null {
+  if (isFromBeforeOutage(view, now)) {
+    return now + HOST_RETURN_MS;
+  }
+  const backAt = view.platformBackAt;
+  return backAt !== null && now < backAt + HOST_RETURN_MS
+    ? backAt + HOST_RETURN_MS
+    : null;
+}
+
+/** Notes that an object was deleted; a host may count a little longer. */
+function deleteObject(
+  view: ViewSlice,
+  change: ObjectChange,
+  parsed: ParsedKey,
+  now: Instant,
+): ViewSlice {
+  const {version, revision} = change;
+  const deleted = view.deleted.set(change.key, {
+    version,
+    revision,
+    value: null,
+  });
+  const isListedHost = parsed.kind === 'hosts' && view.hosts.has(parsed.id);
+  const graceEnd = isListedHost ? findGraceEnd(view, now) : null;
+  if (graceEnd !== null) {
+    return {...view, deleted, lapsed: view.lapsed.set(parsed.id, graceEnd)};
+  }
+  return {
+    ...view,
+    [parsed.kind]: view[parsed.kind].delete(parsed.id),
+    deleted,
+  };
+}
+
+/** Removes a host whose entry lapsed and did not come back in time. */
+export function dropLapsedHost(
+  board: Blackboard,
+  host: HostId,
+  now: Instant,
+): Change {
+  const {view} = board;
+  const graceEnd = view.lapsed.get(host);
+  if (graceEnd === undefined || now < graceEnd) {
+    return {board, actions: []};
+  }
+  const next = {
+    ...view,
+    hosts: view.hosts.delete(host),
+    lapsed: view.lapsed.delete(host),
+  };
+  return {
+    board: {...board, view: next},
+    actions: [
+      {
+        type: 'record',
+        level: 'warn',
+        event: 'host_gone',
+        fields: {host, reason: 'entry_lapsed', grace_ms: HOST_RETURN_MS},
+      },
+    ],
+  };
+}
+
 function storeObject(
   view: ViewSlice,
   change: ObjectChange,
@@ -80,11 +155,7 @@
 ): ViewSlice {
   const {version, revision} = change;
   if (change.value === null) {
-    return {
-      ...view,
-      [parsed.kind]: view[parsed.kind].delete(parsed.id),
-      deleted: view.deleted.set(change.key, {version, revision, value: null}),
-    };
+    return deleteObject(view, change, parsed, now);
   }
   const stored = {version, revision, value: change.value};
   const store: Readonly<Record<ObjectKind, () => ViewSlice>> = {
@@ -103,18 +174,33 @@
     hosts: () => ({
       ...view,
       hosts: view.hosts.set(parsed.id, stored as Versioned<HostObject>),
+      lapsed: view.lapsed.delete(parsed.id),
     }),
   };
   return store[parsed.kind]();
 }
 
-function describeChange(change: ObjectChange, parsed: ParsedKey): Action[] {
+function describeChange(
+  view: ViewSlice,
+  change: ObjectChange,
+  parsed: ParsedKey,
+): Action[] {
   const record: Action = {
     type: 'record',
     level: 'info',
     event: 'object_in_force',
-    fields: {key: change.key, version: change.version},
+    fields: {
+      key: change.key,
+      version: change.version,
+      is_deleted: change.value === null,
+    },
   };
+  const graceEnd =
+    parsed.kind === 'hosts' ? view.lapsed.get(parsed.id) : undefined;
+  if (graceEnd !== undefined) {
+    const timer = {name: 'host_lapsed', host: parsed.id} as const;
+    return [record, {type: 'set_timer', at: graceEnd, timer}];
+  }
   if (parsed.kind !== 'groups') {
     return [record];
   }
@@ -150,7 +236,7 @@
       continue;
     }
     view = storeObject(view, change, parsed, now);
-    actions.push(...describeChange(change, parsed));
+    actions.push(...describeChange(view, change, parsed));
   }
   return {board: view === board.view ? board : {...board, view}, actions};
 }
@@ -160,12 +246,17 @@
   board: Blackboard,
   revision: number,
   freshAt: Instant | null,
+  now: Instant,
 ): Blackboard {
   const {view} = board;
   const nextFreshAt =
     freshAt === null
       ? view.freshAt
       : Math.max(view.freshAt ?? freshAt, freshAt);
+  const isBack =
+    view.freshAt !== null &&
+    nextFreshAt !== null &&
+    nextFreshAt - view.freshAt > PLATFORM_AWAY_MS;
   // Hosts of the settings count until the platform's list is known.
   const isFirst = view.freshAt === null && nextFreshAt !== null;
   const hosts = isFirst
@@ -178,6 +269,7 @@
       hosts,
       revision: Math.max(view.revision, revision),
       freshAt: nextFreshAt,
+      platformBackAt: isBack ? now : view.platformBackAt,
     },
   };
 }
--- a/packages/core/src/engine/event.ts
+++ b/packages/core/src/engine/event.ts
@@ -164,7 +164,12 @@
 /** A read of the platform failed. */
 export interface PlatformReadFailedEvent {
   readonly type: 'platform_read_failed';
+  /** Instant at which the read began. */
   readonly sentAt: Instant;
+  /** `refused`: it was not served; `invalid_answer`: not as the protocol says. */
+  readonly kind: 'refused' | 'invalid_answer';
+  /** What the call met, for the log. */
+  readonly detail: string;
 }
 
 /** How a conditional update ended. */
@@ -277,6 +282,7 @@
 export type TimerKey =
   | {readonly name: 'sync'}
   | {readonly name: 'platform_poll'}
+  | {readonly name: 'host_lapsed'; readonly host: HostId}
   | {readonly name: 'ownership'}
   | {readonly name: 'probe'; readonly endpoint: EndpointId}
   | {readonly name: 'failovers'}
--- a/packages/fakes/src/host.ts
+++ b/packages/fakes/src/host.ts
@@ -248,13 +248,23 @@
         }
       };
       const cancel = process.at(deadline, () =>
-        finish({type: 'platform_read_failed', sentAt}),
+        finish({
+          type: 'platform_read_failed',
+          sentAt,
+          kind: 'refused',
+          detail: 'the deadline passed',
+        }),
       );
       platform.read(node, since, read =>
         process.receive(() =>
           finish(
             read === null
-              ? {type: 'platform_read_failed', sentAt}
+              ? {
+                  type: 'platform_read_failed',
+                  sentAt,
+                  kind: 'refused',
+                  detail: 'the platform is down',
+                }
               : {type: 'platform_read', sentAt, ...read},
           ),
         ),
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,9 +3,9 @@
 export type {ObjectList, UpdatedObject} from './answers.js';
 export {createPlatformAdapter} from './platform_adapter.js';
 export type {PlatformAdapterConfig} from './platform_adapter.js';
-export {PlatformClient} from './platform_client.js';
+export {PlatformClient, toUpdateResult} from './platform_client.js';
 export type {
   PlatformClientConfig,
-  PlatformError,
-  PlatformResult,
+  PlatformReadError,
+  PlatformUpdateError,
 } from './platform_client.js';
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -1,9 +1,9 @@
-/** The platform's object API for the command line. */
+/** The one client of the platform's object API. */
 
 import {Agent} from 'node:http';
 import tsResults from 'ts-results';
 import type {Result} from 'ts-results';
-import type {ObjectChange} from '@lacewingroad/core';
+import type {ObjectChange, UpdateResult} from '@lacewingroad/core';
 import type {Instant, Runtime} from '@lacewingroad/runtime';
 import {parseObject, parseObjectList, parseUpdated} from './answers.js';
 import type {ObjectList, UpdatedObject} from './answers.js';
@@ -14,23 +14,39 @@
 // The package is CommonJS without named exports for ES modules.
 const {Err, Ok} = tsResults;
 
-/** Why a call of the platform did not succeed. */
-export type PlatformError =
+/** A call that had no effect. */
+interface RefusedError {
+  readonly kind: 'refused';
+  readonly message: string;
+  /** What the call met, without the remedy. */
+  readonly detail: string;
+}
+
+/** An answer that the protocol does not have. */
+interface InvalidAnswerError {
+  readonly kind: 'invalid_answer';
+  readonly message: string;
+  readonly detail: string;
+}
+
+/** Why a read did not succeed. */
+export type PlatformReadError = RefusedError | InvalidAnswerError;
+
+/** Why an update did not succeed. */
+export type PlatformUpdateError =
   /** Another update came first; `standing` is what stands now. */
   | {
       readonly kind: 'conflict';
       readonly message: string;
       readonly standing: ObjectChange;
     }
-  /** Nothing took effect. */
-  | {readonly kind: 'refused'; readonly message: string}
+  | RefusedError
   /** Nobody knows whether it took effect. */
-  | {readonly kind: 'unknown'; readonly message: string}
-  /** The platform answered something else than its protocol says. */
-  | {readonly kind: 'invalid_answer'; readonly message: string};
-
-/** A result of a platform call. */
-export type PlatformResult<T> = Result<T, PlatformError>;
+  | {
+      readonly kind: 'unknown';
+      readonly message: string;
+      readonly detail: string;
+    };
 
 /** What a platform client needs. */
 export interface PlatformClientConfig {
@@ -39,52 +55,90 @@
   readonly url: string;
   /** Local IP address of the connections; null or absent for any. */
   readonly sourceAddress?: string | null;
-}
-
-/** Returns the error of a call that got no proper answer. */
-function toFailure(
-  result: HttpResult,
-  isUpdate: boolean,
-): PlatformError | null {
-  if (result.type === 'not_sent') {
-    return createRefusal(result.detail);
-  }
-  if (result.type === 'no_answer') {
-    return isUpdate
-      ? createUnknown(result.detail)
-      : createRefusal(result.detail);
-  }
-  if (isRefusal(result.status)) {
-    return createRefusal(`HTTP status ${result.status}`);
-  }
-  return null;
+  /** Connections at once, further calls wait; absent for no limit. */
+  readonly maxConnections?: number;
 }
 
 /** Creates the error of a call that had no effect. */
-function createRefusal(detail: string): PlatformError {
+function createRefusal(detail: string): RefusedError {
   const message = `The platform did not take the call (${detail}); nothing took effect, try again.`;
-  return {kind: 'refused', message};
+  return {kind: 'refused', message, detail};
 }
 
 /** Creates the error of an update that may have taken effect. */
-function createUnknown(detail: string): PlatformError {
+function createUnknown(detail: string): PlatformUpdateError {
   const message = `The answer to the update did not arrive (${detail}); read the object to see whether it took effect before trying again.`;
-  return {kind: 'unknown', message};
+  return {kind: 'unknown', message, detail};
 }
 
 /** Creates the error of an answer that the protocol does not know. */
-function createInvalid(result: HttpResult): PlatformError {
-  const status = result.type === 'answered' ? result.status : 'none';
-  const message = `The platform gave an answer that its protocol does not have (HTTP status ${status}); check the platform URL.`;
-  return {kind: 'invalid_answer', message};
+function createInvalid(status: number): InvalidAnswerError {
+  const detail = `HTTP status ${status}`;
+  const message = `The platform gave an answer that its protocol does not have (${detail}); check the platform URL.`;
+  return {kind: 'invalid_answer', message, detail};
+}
+
+/** Returns the refusal that a call ended with, or null. */
+function readRefusal(result: HttpResult): RefusedError | null {
+  if (result.type === 'not_sent') {
+    return createRefusal(result.detail);
+  }
+  return result.type === 'answered' && isRefusal(result.status)
+    ? createRefusal(`HTTP status ${result.status}`)
+    : null;
 }
 
-/** Returns the status and body of an answer; null for none. */
-function readAnswer(
+/** Turns the end of a read into its result. */
+function finishRead<T>(
   result: HttpResult,
-  status: number,
-): {readonly body: unknown} | null {
-  return result.type === 'answered' && result.status === status ? result : null;
+  parse: (body: unknown) => T | null,
+): Result<T, PlatformReadError> {
+  const refusal = readRefusal(result);
+  if (refusal !== null) {
+    return Err(refusal);
+  }
+  if (result.type !== 'answered') {
+    return Err(createRefusal(result.detail));
+  }
+  const value = result.status === 200 ? parse(result.body) : null;
+  return value === null ? Err(createInvalid(result.status)) : Ok(value);
+}
+
+/** Turns the end of an update into its result; without proof it is unknown. */
+function finishUpdate(
+  result: HttpResult,
+  baseVersion: number,
+): Result<UpdatedObject, PlatformUpdateError> {
+  const refusal = readRefusal(result);
+  if (refusal !== null) {
+    return Err(refusal);
+  }
+  if (result.type !== 'answered') {
+    return Err(createUnknown(result.detail));
+  }
+  const updated = result.status === 200 ? parseUpdated(result.body) : null;
+  if (updated !== null) {
+    return Ok(updated);
+  }
+  const standing = result.status === 409 ? parseObject(result.body) : null;
+  if (standing === null) {
+    return Err(createUnknown(`HTTP status ${result.status}`));
+  }
+  const message = `The object stands at version ${standing.version}, not ${baseVersion}; read it again and repeat the change on what stands.`;
+  return Err({kind: 'conflict', message, standing});
+}
+
+/** Returns how an update ended in the terms of the decision library. */
+export function toUpdateResult(
+  put: Result<UpdatedObject, PlatformUpdateError>,
+): UpdateResult {
+  if (put.ok) {
+    return {type: 'updated', ...put.val};
+  }
+  const err = put.val;
+  return err.kind === 'conflict'
+    ? {type: 'conflict', version: err.standing.version}
+    : {type: err.kind};
 }
 
 /** Reads and updates objects of the platform; close it after use. */
@@ -95,7 +149,10 @@
     this.target = {
       runtime: cfg.runtime,
       url: new URL(cfg.url),
-      agent: new Agent({keepAlive: true}),
+      agent: new Agent({
+        keepAlive: true,
+        maxSockets: cfg.maxConnections ?? Infinity,
+      }),
       sourceAddress: cfg.sourceAddress ?? null,
     };
   }
@@ -104,21 +161,21 @@
   async getObject(
     key: string,
     deadline: Instant,
-  ): Promise<PlatformResult<ObjectChange | null>> {
+  ): Promise<Result<ObjectChange | null, PlatformReadError>> {
     const result = await this.call(getCall(key, deadline));
-    if (readAnswer(result, 404) !== null) {
-      return Ok(null);
-    }
-    return this.finish(result, parseObject, false);
+    const isAbsent = result.type === 'answered' && result.status === 404;
+    return isAbsent ? Ok(null) : finishRead(result, parseObject);
   }
 
   /** Lists the objects changed after a revision; 0 lists all. */
   async listObjects(
     since: number,
     deadline: Instant,
-  ): Promise<PlatformResult<ObjectList>> {
-    const result = await this.call(listCall(since, deadline));
-    return this.finish(result, parseObjectList, false);
+  ): Promise<Result<ObjectList, PlatformReadError>> {
+    return finishRead(
+      await this.call(listCall(since, deadline)),
+      parseObjectList,
+    );
   }
 
   /** Replaces an object if it stands at `baseVersion` (0: absent). */
@@ -127,16 +184,9 @@
     baseVersion: number,
     value: unknown,
     deadline: Instant,
-  ): Promise<PlatformResult<UpdatedObject>> {
+  ): Promise<Result<UpdatedObject, PlatformUpdateError>> {
     const call = putCall(key, baseVersion, value, deadline);
-    const result = await this.call(call);
-    const conflict = readAnswer(result, 409);
-    const standing = conflict === null ? null : parseObject(conflict.body);
-    if (standing !== null) {
-      const message = `The object stands at version ${standing.version}, not ${baseVersion}; read it again and repeat the change on what stands.`;
-      return Err({kind: 'conflict', message, standing});
-    }
-    return this.finish(result, parseUpdated, true);
+    return finishUpdate(await this.call(call), baseVersion);
   }
 
   /** Closes the connections. */
@@ -147,26 +197,4 @@
   private call(call: HttpCall): Promise<HttpResult> {
     return callHttp(this.target, call);
   }
-
-  /** Turns the end of a call into a result. */
-  private finish<T>(
-    result: HttpResult,
-    parse: (body: unknown) => T | null,
-    isUpdate: boolean,
-  ): PlatformResult<T> {
-    const failure = toFailure(result, isUpdate);
-    if (failure !== null) {
-      return Err(failure);
-    }
-    const answer = readAnswer(result, 200);
-    const value = answer === null ? null : parse(answer.body);
-    if (value !== null) {
-      return Ok(value);
-    }
-    return Err(
-      isUpdate
-        ? createUnknown('the answer was not a valid one')
-        : createInvalid(result),
-    );
-  }
 }
