Log each decision on a request with its inputs, and explain a request by its id

Events request_sent, request_waits, job_queued, job_started, job_refused and the four ends of a request carry what decided them with age or version; host, endpoint and platform losses and returns are logged once each. Error messages name the request. `lacewingroad explain REQUEST` tells its story, what would have changed it, and what else its hosts learned around that time.

The log on a pipe or socket is written by a socket of Node: a file stream left a blocked write in a thread while the reader stood still, and the process then could not exit (trial: still there 8 s after process.exit).

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -6,6 +6,7 @@
 import {buildCommand} from './command.js';
 import type {ExitSink} from './command.js';
 import {BENCH_SPEC} from './commands/bench.js';
+import {EXPLAIN_SPEC} from './commands/explain.js';
 import {FAILOVER_SPEC} from './commands/failover.js';
 import {GROUPS_SPEC} from './commands/groups.js';
 import {HOSTS_SPEC} from './commands/hosts.js';
@@ -54,6 +55,7 @@
       groups: buildCommand(cli, setExit, GROUPS_SPEC),
       failover: buildCommand(cli, setExit, FAILOVER_SPEC),
       timeline: buildCommand(cli, setExit, TIMELINE_SPEC),
+      explain: buildCommand(cli, setExit, EXPLAIN_SPEC),
       check: buildCommand(cli, setExit, CHECK_SPEC),
       entry: buildCommand(cli, setExit, ENTRY_SPEC),
       bench: buildCommand(cli, setExit, BENCH_SPEC),
--- a/packages/cli/src/commands/timeline.ts
+++ b/packages/cli/src/commands/timeline.ts
@@ -1,10 +1,6 @@
 /** `timeline`: the events of all hosts in one order. */
 
-import {
-  formatEventLine,
-  mergeTimeline,
-  parseEventLine,
-} from '@lacewingroad/telemetry';
+import {formatEventLine, mergeTimeline} from '@lacewingroad/telemetry';
 import type {TimelineEvent} from '@lacewingroad/telemetry';
 import type {ArgsDef} from 'citty';
 import {EXIT_NOT_AS_WISHED, EXIT_OK} from '../cli_error.js';
@@ -12,9 +8,7 @@
 import {OPERATOR_ARGS, usage} from '../command.js';
 import type {CommandInput, CommandSpec} from '../command.js';
 import {formatWallTime} from '../format_text.js';
-import {askAllHosts} from '../host_list.js';
-import {eventsAnswerSchema} from '../operator_answers.js';
-import type {CliContext} from '../ports.js';
+import {gatherEvents} from '../gather_events.js';
 import type {Report} from '../report.js';
 import {Err, Ok} from '../result.js';
 import type {Result} from '../result.js';
@@ -43,29 +37,21 @@
 export const TIMELINE_SPEC: CommandSpec<typeof TIMELINE_ARGS> = {
   name: 'timeline',
   description:
-    'merge the events of all hosts, or of the log files named, into one order',
+    'merge the events of all hosts, or of the log files named (- for standard input), into one order',
   args: TIMELINE_ARGS,
   takesMore: true,
   takesHostIds: true,
   handler: showTimeline,
 };
 
-interface GatheredEvents {
-  readonly events: readonly TimelineEvent[];
-  /** Hosts or lines that are missing, in words. */
-  readonly gaps: readonly string[];
-}
-
 async function showTimeline(
   input: CommandInput<typeof TIMELINE_ARGS>,
 ): Promise<Result<Report, CliError>> {
   if (input.hostIds.length > 1) {
     return Err(usage('Name at most one host to filter by.'));
   }
-  const gathered =
-    input.positionals.length > 0
-      ? await readLogs(input.cli, input.positionals)
-      : await askEvents(input);
+  const {cli, sources, positionals} = input;
+  const gathered = await gatherEvents(cli, sources, positionals);
   if (gathered.err) {
     return gathered;
   }
@@ -89,39 +75,3 @@
   const time = Number.isFinite(wallMs) ? formatWallTime(wallMs) : event.stamp;
   return `${time}  ${formatEventLine(event)}`;
 }
-
-async function readLogs(
-  cli: CliContext,
-  paths: readonly string[],
-): Promise<Result<GatheredEvents, CliError>> {
-  const events: TimelineEvent[] = [];
-  for (const path of paths) {
-    const text = await cli.files.read(path);
-    if (text.err) {
-      return text;
-    }
-    const read = text.val.split('\n').map(parseEventLine);
-    events.push(...read.filter(event => event !== null));
-  }
-  return Ok({events, gaps: []});
-}
-
-async function askEvents(
-  input: CommandInput<typeof TIMELINE_ARGS>,
-): Promise<Result<GatheredEvents, CliError>> {
-  const asked = await askAllHosts(
-    input.sources,
-    '/events?after=0',
-    eventsAnswerSchema,
-  );
-  if (asked.err) {
-    return asked;
-  }
-  const answers = asked.val;
-  return Ok({
-    events: answers.flatMap(({answer}) => (answer.ok ? answer.val.events : [])),
-    gaps: answers.flatMap(({host, answer}) =>
-      answer.err ? [`Missing ${host.id}: ${answer.val.message}`] : [],
-    ),
-  });
-}
--- a/packages/cli/src/ports.ts
+++ b/packages/cli/src/ports.ts
@@ -47,6 +47,7 @@
 
 /** The files of the operator's computer. */
 export interface FilePort {
+  /** Reads a file whole; `-` is the standard input. */
   readonly read: (path: string) => Promise<Result<string, CliError>>;
   /** Creates a file; refuses to replace one, which may hold an edit. */
   readonly create: (
--- a/packages/cli/src/system_context.ts
+++ b/packages/cli/src/system_context.ts
@@ -2,6 +2,7 @@
 
 import {readFile, writeFile} from 'node:fs/promises';
 import {userInfo} from 'node:os';
+import {text} from 'node:stream/consumers';
 import {createSystemRuntime} from '@lacewingroad/runtime';
 import {loadSettings} from '@lacewingroad/settings';
 import type {CliError} from './cli_error.js';
@@ -10,6 +11,9 @@
 import type {CliContext, FilePort, ProgramPort} from './ports.js';
 import {Err, Ok} from './result.js';
 
+/** The path that stands for the standard input. */
+const STANDARD_INPUT = '-';
+
 /** Creates the context of the real program. */
 export function createSystemContext(): CliContext {
   const runtime = createSystemRuntime();
@@ -42,7 +46,11 @@
   return {
     read: async path => {
       try {
-        return Ok(await readFile(path, 'utf8'));
+        return Ok(
+          path === STANDARD_INPUT
+            ? await text(process.stdin)
+            : await readFile(path, 'utf8'),
+        );
       } catch (err) {
         return Err(describeFileFault('read', path, err));
       }
--- a/packages/core/src/control/facts.ts
+++ b/packages/core/src/control/facts.ts
@@ -39,6 +39,18 @@
   );
 }
 
+/** Returns what the log says of the view: its revision, and its age in ms. */
+export function describeView(
+  board: Blackboard,
+  now: Instant,
+): Readonly<Record<'view_revision' | 'view_age_ms', number | null>> {
+  const {revision, freshAt} = board.view;
+  return {
+    view_revision: revision,
+    view_age_ms: freshAt === null ? null : Math.round(now - freshAt),
+  };
+}
+
 /** Returns the object of a group, or null when it is not known. */
 export function readGroup(
   board: Blackboard,
--- a/packages/core/src/control/membership.ts
+++ b/packages/core/src/control/membership.ts
@@ -225,10 +225,11 @@
   if (!isKnownDown) {
     return unchanged(next);
   }
-  return unchanged(next, {
-    type: 'emit',
-    event: {type: 'host_observed', host, isReachable: true},
-  });
+  return unchanged(
+    next,
+    {type: 'emit', event: {type: 'host_observed', host, isReachable: true}},
+    {type: 'record', level: 'info', event: 'host_reachable', fields: {host}},
+  );
 }
 
 /** Applies what a relay says of the hosts of the data centre. */
--- a/packages/core/src/control/probes.ts
+++ b/packages/core/src/control/probes.ts
@@ -13,6 +13,7 @@
 import {readEndpointView, readGroup, readOwnedEndpoint} from './facts.js';
 import type {EndpointView} from './state.js';
 import {indexEndpoints} from './view_index.js';
+import type {Action} from '../engine/action.js';
 import type {Blackboard} from '../engine/blackboard.js';
 import {chain, unchanged} from '../engine/engine.js';
 import type {Change, Context, Feature, Handler} from '../engine/engine.js';
@@ -225,6 +226,32 @@
   };
 }
 
+/** Tells when an endpoint begins to fail probes, and when it answers again. */
+function describeHealth(
+  view: EndpointView,
+  event: Parameters<Handler<'probed'>>[1],
+  now: Instant,
+): readonly Action[] {
+  const {endpoint, status, fault} = event;
+  const {failingSince, statusAt} = view;
+  if (status === null && failingSince === null) {
+    const seenAgoMs = statusAt === null ? null : Math.round(now - statusAt);
+    const fields = {endpoint, fault, seen_ago_ms: seenAgoMs};
+    return [{type: 'record', level: 'warn', event: 'endpoint_lost', fields}];
+  }
+  if (status === null || failingSince === null) {
+    return [];
+  }
+  const fields = {
+    endpoint,
+    endpoint_role: status.role,
+    term: status.position.term,
+    index: status.position.index,
+    lost_ms: Math.round(now - failingSince),
+  };
+  return [{type: 'record', level: 'info', event: 'endpoint_regained', fields}];
+}
+
 const handleProbed: Handler<'probed'> = (board, event, ctx) => {
   const {endpoint, sentAt} = event;
   const view = readEndpointView(board, endpoint);
@@ -237,7 +264,7 @@
   const nextProbeAt =
     interval === null ? null : Math.max(ctx.now + 1, sentAt + interval);
   const next = setEndpointView(noted, endpoint, {nextProbeAt});
-  const change = unchanged(next, {
+  const change = unchanged(next, ...describeHealth(view, event, ctx.now), {
     type: 'emit',
     event: {type: 'endpoint_observed', endpoint},
   });
--- a/packages/core/src/control/sync.ts
+++ b/packages/core/src/control/sync.ts
@@ -12,7 +12,7 @@
   SYNC_INTERVAL_MS,
   SYNC_MIN_INTERVAL_MS,
 } from './constants.js';
-import {hasPaused} from './facts.js';
+import {describeView, hasPaused} from './facts.js';
 import {applyRelayObservations} from './membership.js';
 import {chooseInTurn, listSources} from './sources.js';
 import {
@@ -266,7 +266,6 @@
   if (board.relay.platformLostAt !== null) {
     return unchanged(board);
   }
-  const {freshAt, revision} = board.view;
   return unchanged(setRelay(board, {platformLostAt: now}), {
     type: 'record',
     level: 'warn',
@@ -274,8 +273,7 @@
     fields: {
       kind: event.kind,
       detail: event.detail,
-      view_revision: revision,
-      view_age_ms: freshAt === null ? null : Math.round(now - freshAt),
+      ...describeView(board, now),
     },
   });
 }
--- a/packages/core/src/control/view.ts
+++ b/packages/core/src/control/view.ts
@@ -4,7 +4,7 @@
 import {HOST_RETURN_MS, PLATFORM_AWAY_MS} from './constants.js';
 import type {Versioned, ViewSlice} from './state.js';
 import {sortByRevision} from './view_index.js';
-import type {Action} from '../engine/action.js';
+import type {Action, FieldValue} from '../engine/action.js';
 import type {Blackboard} from '../engine/blackboard.js';
 import type {Change} from '../engine/engine.js';
 import type {GroupObject} from '../model/group.js';
@@ -180,6 +180,23 @@
   return store[parsed.kind]();
 }
 
+/** Returns what the log says of a group: its term, primary and fence. */
+function describeGroup(
+  view: ViewSlice,
+  parsed: ParsedKey,
+): Readonly<Record<string, FieldValue>> {
+  const group =
+    parsed.kind === 'groups' ? view.groups.get(parsed.id)?.value : undefined;
+  return group === undefined
+    ? {}
+    : {
+        group: group.id,
+        term: group.term,
+        primary: group.primary,
+        fenced_term: group.fence?.term ?? null,
+      };
+}
+
 function describeChange(
   view: ViewSlice,
   change: ObjectChange,
@@ -193,6 +210,7 @@
       key: change.key,
       version: change.version,
       is_deleted: change.value === null,
+      ...describeGroup(view, parsed),
     },
   };
   const graceEnd =
--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -8,12 +8,12 @@
 import {chooseRoute, isSessionWriteLost} from './route.js';
 import type {Route} from './route.js';
 import type {Caller, Request} from './state.js';
-import {readGroup} from '../control/facts.js';
+import {describeView, readEndpointView, readGroup} from '../control/facts.js';
 import type {Blackboard} from '../engine/blackboard.js';
 import {unchanged} from '../engine/engine.js';
 import type {Change, Context} from '../engine/engine.js';
 import type {Action} from '../engine/action.js';
-import type {TxId} from '../model/ids.js';
+import type {Instant, TxId} from '../model/ids.js';
 import type {RunMessage} from '../model/message.js';
 import type {NotRunReason} from '../model/outcome.js';
 
@@ -46,7 +46,15 @@
       type: 'record',
       level: 'debug',
       event: 'request_waits',
-      fields: {request: request.id, group: request.group, reason},
+      fields: {
+        request: request.id,
+        attempt: request.attempt,
+        group: request.group,
+        reason,
+        retry_in_ms: Math.round(retryAt - ctx.now),
+        left_ms: Math.round(request.deadline - ctx.now),
+        ...describeView(board, ctx.now),
+      },
     },
   );
 }
@@ -106,6 +114,7 @@
     minPosition: null,
     maxStalenessMs: null,
     isReplica: false,
+    reason: 'transaction',
   };
 }
 
@@ -152,6 +161,42 @@
   return replyLostWrite(removed, caller, group, ctx.now);
 }
 
+/** Tells where a request goes, and by what knowledge. */
+function describeRoute(
+  board: Blackboard,
+  request: Request,
+  route: Route,
+  now: Instant,
+): Action {
+  const {statusAt, dataAsOf} = readEndpointView(board, route.endpoint);
+  const age = (since: Instant | null): number | null =>
+    since === null ? null : Math.round(now - since);
+  return {
+    type: 'record',
+    level: 'debug',
+    event: 'request_sent',
+    fields: {
+      request: request.id,
+      attempt: request.attempt,
+      group: request.group,
+      kind: request.kind,
+      rank: request.row.rank,
+      endpoint: route.endpoint,
+      owner: route.host,
+      endpoint_role: route.isReplica ? 'replica' : 'primary',
+      reason: route.reason,
+      term: route.term,
+      min_term: route.minPosition?.term ?? null,
+      min_index: route.minPosition?.index ?? null,
+      max_staleness_ms: route.maxStalenessMs,
+      data_age_ms: age(dataAsOf),
+      report_age_ms: age(statusAt),
+      left_ms: Math.round(request.deadline - now),
+      ...describeView(board, now),
+    },
+  };
+}
+
 /** Sends a request to where it can run now, or lets it wait. */
 export function sendRequest(
   board: Blackboard,
@@ -183,7 +228,7 @@
   );
   const msg = createRunMessage(caller, sent, route, ctx.now);
   const send: Action = {type: 'send', host: route.host, msg};
-  return unchanged(next, send);
+  return unchanged(next, describeRoute(board, sent, route, ctx.now), send);
 }
 
 /** Sends the waiting requests of a group at once. */
--- a/packages/core/src/entry/ending.ts
+++ b/packages/core/src/entry/ending.ts
@@ -12,8 +12,8 @@
 import {countOutstanding, removeRequest} from './requests.js';
 import {writeSessionToken} from './session_token.js';
 import type {Caller, CallerTx, Request} from './state.js';
-import {readGroup} from '../control/facts.js';
-import type {Action, Reply} from '../engine/action.js';
+import {describeView, readGroup} from '../control/facts.js';
+import type {Action, ActionOf, Reply} from '../engine/action.js';
 import type {Blackboard} from '../engine/blackboard.js';
 import {unchanged} from '../engine/engine.js';
 import type {Change, Context} from '../engine/engine.js';
@@ -31,6 +31,16 @@
     : outcome;
 }
 
+/** The event that tells of each end; failures are of a kind of their own. */
+const REQUEST_ENDS: Readonly<
+  Record<Outcome['type'], Readonly<Pick<ActionOf<'record'>, 'event' | 'level'>>>
+> = {
+  done: {event: 'request_done', level: 'debug'},
+  failed: {event: 'request_failed', level: 'info'},
+  not_run: {event: 'request_not_run', level: 'info'},
+  unknown: {event: 'request_unknown', level: 'warn'},
+};
+
 function describeRequest(
   board: Blackboard,
   request: Request,
@@ -42,8 +52,7 @@
     endpoint !== null && readGroup(board, request.group)?.primary === endpoint;
   return {
     type: 'record',
-    level: outcome.type === 'unknown' ? 'warn' : 'debug',
-    event: 'request_done',
+    ...REQUEST_ENDS[outcome.type],
     fields: {
       request: request.id,
       group: request.group,
@@ -59,9 +68,12 @@
       target_ms: request.row.targetMs,
       is_in_time: outcome.type === 'done' && now <= request.targetAt,
       attempts: request.attempt,
-      target_endpoint: endpoint,
+      endpoint,
+      owner: request.sentTo?.host ?? null,
+      term: request.sentTo?.term ?? null,
       endpoint_role:
         endpoint === null ? null : isPrimary ? 'primary' : 'replica',
+      ...describeView(board, now),
     },
   };
 }
@@ -158,7 +170,13 @@
     : hideEndpointInfo(outcome.result);
   const reply = createResultReply(current, result);
   return hasWritten && current.isNamedSession
-    ? storeThenReply(applied, current, request.group, reply, now)
+    ? storeThenReply(
+        applied,
+        current,
+        {group: request.group, request: request.id},
+        reply,
+        now,
+      )
     : finishStatement(applied, caller.id, reply);
 }
 
@@ -203,8 +221,11 @@
       : createErrorReply(
           current,
           isGone
-            ? createRolledBackError('it had ended before its COMMIT arrived')
-            : createOutcomeError(outcome),
+            ? createRolledBackError(
+                'it had ended before its COMMIT arrived',
+                request.id,
+              )
+            : createOutcomeError(outcome, request.id),
         );
   const change = finishStatement(next, caller.id, reply);
   const isLeftOpen = isGone || request.mode === 'rollback';
@@ -247,6 +268,7 @@
   const current = readCaller(next, caller.id) ?? caller;
   const error = createRolledBackError(
     'its connection to the endpoint was lost or refused',
+    request.id,
   );
   const change = finishStatement(
     next,
--- a/packages/core/src/entry/error.ts
+++ b/packages/core/src/entry/error.ts
@@ -1,5 +1,6 @@
 /** The errors that lacewingroad itself gives to callers. */
 
+import type {RequestId} from '../model/ids.js';
 import type {
   NotRunReason,
   Outcome,
@@ -56,33 +57,48 @@
 type RefusalHandlers = {
   readonly [T in Refusal['type']]: (
     outcome: Extract<Refusal, {type: T}>,
+    suffix: string,
   ) => SqlError;
 };
 
+/** Returns the end of a message by which the logs tell the cause. */
+function formatRequest(request: RequestId | null): string {
+  return request === null ? '' : ` (request ${request})`;
+}
+
 const REFUSALS: RefusalHandlers = {
   failed: outcome => outcome.error,
-  not_run: outcome =>
+  not_run: (outcome, suffix) =>
     createError(
       'not_run',
-      `not run: ${NOT_RUN_MESSAGES[outcome.reason]}. Nothing took effect; send it again.`,
+      `not run: ${NOT_RUN_MESSAGES[outcome.reason]}. Nothing took effect; send it again.${suffix}`,
     ),
-  unknown: outcome =>
+  unknown: (outcome, suffix) =>
     createError(
       'unknown',
-      `outcome unknown: ${UNKNOWN_MESSAGES[outcome.reason]}. It may have taken effect; look before you send it again, or send it again with its request key.`,
+      `outcome unknown: ${UNKNOWN_MESSAGES[outcome.reason]}. It may have taken effect; look before you send it again, or send it again with its request key.${suffix}`,
     ),
 };
 
-/** Returns the error that tells a caller of an outcome. */
-export function createOutcomeError(outcome: Refusal): SqlError {
-  const create = REFUSALS[outcome.type] as (refusal: Refusal) => SqlError;
-  return create(outcome);
+/** Returns the error that tells a caller of an outcome, and its request. */
+export function createOutcomeError(
+  outcome: Refusal,
+  request: RequestId | null,
+): SqlError {
+  const create = REFUSALS[outcome.type] as (
+    refusal: Refusal,
+    suffix: string,
+  ) => SqlError;
+  return create(outcome, formatRequest(request));
 }
 
 /** Returns the error for a transaction that can no longer commit. */
-export function createRolledBackError(cause: string): SqlError {
+export function createRolledBackError(
+  cause: string,
+  request: RequestId | null = null,
+): SqlError {
   return createError(
     'rolled_back',
-    `the transaction was rolled back: ${cause}. None of it took effect; send it again from its start.`,
+    `the transaction was rolled back: ${cause}. None of it took effect; send it again from its start.${formatRequest(request)}`,
   );
 }
--- a/packages/core/src/entry/holders.ts
+++ b/packages/core/src/entry/holders.ts
@@ -30,7 +30,7 @@
 import {unchanged} from '../engine/engine.js';
 import {createMessageHandler} from '../engine/message_handlers.js';
 import type {Change, Feature, Handler} from '../engine/engine.js';
-import type {GroupId, HostId, Instant} from '../model/ids.js';
+import type {GroupId, HostId, Instant, RequestId} from '../model/ids.js';
 import type {PeerMessage, SessionMessage} from '../model/message.js';
 import {mergePositions, setSessions} from './sessions.js';
 
@@ -62,10 +62,11 @@
 export function storeThenReply(
   board: Blackboard,
   caller: Caller,
-  group: GroupId,
+  write: {readonly group: GroupId; readonly request: RequestId | null},
   reply: Reply,
   now: Instant,
 ): Change {
+  const {group, request} = write;
   const holders = chooseHolders(board, caller.session);
   if (holders.length === 0 || caller.serving === null) {
     return finishStatement(board, caller.id, reply);
@@ -75,6 +76,7 @@
   const ask: StoreAsk = {
     type: 'store',
     caller: caller.id,
+    request,
     seq: caller.serving,
     reply,
     waitingFor: reachable.length >= needed ? reachable : holders,
@@ -191,7 +193,7 @@
     return finishStatement(closed, ask.caller, ask.reply);
   }
   // Another host could not know of the write, and would serve older data.
-  const error = createOutcomeError(SESSION_NOT_KEPT);
+  const error = createOutcomeError(SESSION_NOT_KEPT, ask.request);
   const reply = createErrorReply(caller, error);
   const change = finishStatement(closed, ask.caller, reply);
   return {
@@ -202,7 +204,13 @@
         type: 'record',
         level: 'warn',
         event: 'session_not_stored',
-        fields: {session: caller.session},
+        fields: {
+          request: ask.request,
+          session: caller.session,
+          stored: ask.stored,
+          needed: ask.needed,
+          missing: ask.waitingFor.join(),
+        },
       },
     ],
   };
--- a/packages/core/src/entry/lost_write.ts
+++ b/packages/core/src/entry/lost_write.ts
@@ -35,6 +35,12 @@
   );
   const reply = createErrorReply(current, error);
   return caller.isNamedSession
-    ? storeThenReply(next, current, group.id, reply, now)
+    ? storeThenReply(
+        next,
+        current,
+        {group: group.id, request: null},
+        reply,
+        now,
+      )
     : finishStatement(next, caller.id, reply);
 }
--- a/packages/core/src/entry/route.ts
+++ b/packages/core/src/entry/route.ts
@@ -26,8 +26,25 @@
   readonly minPosition: LogPosition | null;
   readonly maxStalenessMs: number | null;
   readonly isReplica: boolean;
+  readonly reason: RouteReason;
 }
 
+/** Why a request goes to a replica, or to the primary instead of one. */
+export type RouteReason =
+  | 'replica'
+  /** Writes and transactions run at the primary. */
+  | 'write'
+  | 'transaction'
+  /** The session's newest position is not proven. */
+  | 'session_not_proven'
+  /** The row of the table allows no age. */
+  | 'no_staleness_allowed'
+  /** The routing of the experiment uses no replicas. */
+  | 'replicas_not_used'
+  /** No replica can be reached that is known to be recent enough. */
+  | 'no_replica_fits'
+  | 'replicas_busy';
+
 function readRouting(board: Blackboard): RoutingPolicy {
   return ROUTING_POLICIES[board.requests.routing];
 }
@@ -47,20 +64,26 @@
   return caller.proof === 'complete' && !caller.hasUnknownWrite;
 }
 
-/** Tells whether replicas may serve a request at all. */
-function allowsReplica(
+/** Returns why no replica may serve a request, or null where one may. */
+function findReplicaRefusal(
   board: Blackboard,
   caller: Caller,
   request: Request,
-): boolean {
+): RouteReason | null {
   const {usesReplicas, keepsSessions} = readRouting(board);
-  return (
-    usesReplicas &&
-    !request.isWrite &&
-    request.mode === 'autocommit' &&
-    (isProofComplete(caller) || !keepsSessions) &&
-    request.row.maxStalenessMs !== 0
-  );
+  if (request.mode !== 'autocommit') {
+    return 'transaction';
+  }
+  if (request.isWrite) {
+    return 'write';
+  }
+  if (!usesReplicas) {
+    return 'replicas_not_used';
+  }
+  if (keepsSessions && !isProofComplete(caller)) {
+    return 'session_not_proven';
+  }
+  return request.row.maxStalenessMs === 0 ? 'no_staleness_allowed' : null;
 }
 
 /**
@@ -167,6 +190,7 @@
         minPosition: readWanted(board, group, caller),
         maxStalenessMs: request.row.maxStalenessMs,
         isReplica: true,
+        reason: 'replica',
       };
       return {route, cost};
     }
@@ -206,6 +230,7 @@
   group: GroupObject,
   caller: Caller,
   request: Request,
+  reason: RouteReason,
   now: Instant,
 ): Route | null {
   const endpoint = findEndpoint(group, group.primary);
@@ -223,6 +248,7 @@
     minPosition: request.isWrite ? null : wanted,
     maxStalenessMs: isProven ? null : request.row.maxStalenessMs,
     isReplica: false,
+    reason,
   };
 }
 
@@ -234,16 +260,18 @@
   request: Request,
   ctx: Context,
 ): Route | null {
-  const replica = allowsReplica(board, caller, request)
-    ? chooseReplica(board, group, caller, request, ctx)
-    : null;
+  const refusal = findReplicaRefusal(board, caller, request);
+  const replica =
+    refusal === null ? chooseReplica(board, group, caller, request, ctx) : null;
   if (
     replica !== null &&
     !isPrimarySooner(board, group, request, replica.cost, ctx)
   ) {
     return replica.route;
   }
-  const primary = choosePrimary(board, group, caller, request, ctx.now);
+  const reason =
+    refusal ?? (replica === null ? 'no_replica_fits' : 'replicas_busy');
+  const primary = choosePrimary(board, group, caller, request, reason, ctx.now);
   return primary ?? replica?.route ?? null;
 }
 
--- a/packages/core/src/entry/state.ts
+++ b/packages/core/src/entry/state.ts
@@ -150,6 +150,8 @@
 export interface StoreAsk {
   readonly type: 'store';
   readonly caller: CallerId;
+  /** The request that wrote; null for the loss of an earlier write. */
+  readonly request: RequestId | null;
   readonly seq: number;
   readonly reply: Reply;
   readonly waitingFor: readonly HostId[];
--- a/packages/core/src/owner/admission.ts
+++ b/packages/core/src/owner/admission.ts
@@ -322,6 +322,7 @@
     at: job.deadline,
     timer: {name: 'job_deadline', endpoint, request},
   });
-  const fields = {request, attempt, endpoint, group, kind, rank, mode};
+  const queued = jobs.queued.size;
+  const fields = {request, attempt, endpoint, group, kind, rank, mode, queued};
   record(turn, 'debug', 'job_queued', fields);
 }
--- a/packages/core/src/owner/answers.ts
+++ b/packages/core/src/owner/answers.ts
@@ -1,16 +1,37 @@
 /** Answers jobs: tells the asking host what became of its request. */
 
-import {readReport} from '../control/facts.js';
+import {describeView, readReport} from '../control/facts.js';
 import type {EndpointId, RequestId} from '../model/ids.js';
 import type {Outcome} from '../model/outcome.js';
 import {dropJob, findJob} from './job_set.js';
-import {getPool, record, setPool} from './turn.js';
+import {getGroup, getPool, record, setPool} from './turn.js';
 import type {Turn} from './turn.js';
 import type {Job} from './state.js';
 
 /** Returns the level of the time line at which an outcome is recorded. */
 function readLevel(outcome: Outcome): 'debug' | 'info' {
-  return outcome.type === 'unknown' ? 'info' : 'debug';
+  const isPlain = outcome.type === 'done' || outcome.type === 'failed';
+  return isPlain ? 'debug' : 'info';
+}
+
+/** Returns what the log says of a pool's load and of what its owner knows. */
+function describePool(
+  turn: Turn,
+  endpoint: EndpointId,
+): Readonly<Record<string, number | null>> {
+  const pool = getPool(turn, endpoint);
+  const view = describeView(turn.board(), turn.now);
+  if (pool === null) {
+    return view;
+  }
+  return {
+    queued: pool.jobs.queued.size,
+    running: pool.jobs.active.size,
+    conns: pool.conns.size,
+    service_ms: Math.round(pool.serviceMs),
+    group_term: getGroup(turn, pool)?.term ?? null,
+    ...view,
+  };
 }
 
 /** Returns the reason of an outcome, or null where it has none. */
@@ -51,6 +72,7 @@
     mode,
     outcome: outcome.type,
     reason: readReason(outcome),
+    ...(outcome.type === 'not_run' ? describePool(turn, endpoint) : {}),
   });
 }
 
--- a/packages/core/src/owner/jobs.ts
+++ b/packages/core/src/owner/jobs.ts
@@ -12,7 +12,7 @@
 import {closeTx, endQueuedOfTx, requeue} from './losses.js';
 import {STEPS, findFirstStep, notRun} from './steps.js';
 import type {ConnUse, Next} from './steps.js';
-import {getPool, setConn, setJob, setPool} from './turn.js';
+import {getPool, record, setConn, setJob, setPool} from './turn.js';
 import type {Turn} from './turn.js';
 import type {Conn, Job, Pool, StepName, Tx} from './state.js';
 
@@ -35,6 +35,17 @@
     conn: conn.id,
     startedAt: turn.now,
   })!;
+  const {attempt, group, kind, rank} = job.msg;
+  record(turn, 'debug', 'job_started', {
+    request,
+    attempt,
+    endpoint,
+    group,
+    kind,
+    rank,
+    conn: conn.id,
+    waited_ms: Math.round(turn.now - job.receivedAt),
+  });
   const isChecked = tx !== null || !needsCheck(conn, turn.now);
   sendStep(turn, endpoint, started, isChecked ? findFirstStep(job) : 'check');
 }
--- a/packages/daemon/src/__tests__/unit/wire.test.ts
+++ b/packages/daemon/src/__tests__/unit/wire.test.ts
@@ -57,7 +57,7 @@
       write: line => {
         lines.push(line);
       },
-      flushSync: () => undefined,
+      flush: () => Promise.resolve(),
     },
     onFatal: err => {
       fatal.push(err);
@@ -164,6 +164,8 @@
     });
     fake.callerEvents.next({type: 'caller_closed', caller: 1});
     fake.callerEvents.next({type: 'caller_closed', caller: 2});
+    // It is reported once its line is written.
+    await until(() => fatal.length > 0);
     expect(fatal).toHaveLength(1);
     expect(lines.at(-1)).toMatch(/level=error.*event=fatal_error.*Invariant/);
     expect(fake.seen.filter(e => e.type === 'caller_closed')).toHaveLength(1);
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -72,8 +72,8 @@
   };
 }
 
-/** Logs a defect and what led to it. */
-function recordFatal(recorder: Recorder, err: unknown): void {
+/** Logs a defect and what led to it; resolves once it is written. */
+function recordFatal(recorder: Recorder, err: unknown): Promise<void> {
   const detail =
     err instanceof Error ? (err.stack ?? err.message) : String(err);
   recorder.record({
@@ -82,7 +82,7 @@
     event: 'fatal_error',
     fields: {detail},
   });
-  recorder.flush();
+  return recorder.flush();
 }
 
 /** Starts an entry host; its `ready` tells when it listens. */
@@ -101,7 +101,7 @@
     hlc,
     level: settings.log.level,
     linesPerSecond: settings.log.linesPerSecond,
-    destination: options.destination ?? createStdoutDestination(),
+    destination: options.destination ?? createStdoutDestination(runtime),
     withProcessMetrics: options.withProcessMetrics ?? false,
   });
   const engine = parts.createEntryEngine({
@@ -181,8 +181,7 @@
         drained: () => reportDrained(),
       },
       onFatal: err => {
-        recordFatal(recorder, err);
-        onFatal(err);
+        void recordFatal(recorder, err).then(() => onFatal(err));
       },
     });
     loop = started;
@@ -219,7 +218,7 @@
       operators.close(),
     ]);
     recordOwn('stopped', {});
-    recorder.flush();
+    await recorder.flush();
   };
 
   const drain = async (deadline: Instant): Promise<void> => {
--- a/packages/telemetry/src/__tests__/unit/recorder.test.ts
+++ b/packages/telemetry/src/__tests__/unit/recorder.test.ts
@@ -19,7 +19,7 @@
       write: line => {
         lines.push(line);
       },
-      flushSync: () => undefined,
+      flush: () => Promise.resolve(),
     },
     ringCapacity,
     linesPerSecond,
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -29,8 +29,8 @@
   readonly count: (event: string, fields: Fields) => void;
   /** Counts log lines that the limit of their kind left out. */
   readonly countSuppressedLines: (lines: number) => void;
-  /** Counts log lines that a slow reader of the log cost. */
-  readonly countDroppedLines: (lines: number) => void;
+  /** Counts a log line that a slow reader of the log cost. */
+  readonly countDroppedLine: () => void;
   /** Adds a gauge that is read when metrics are. */
   readonly registerGauge: (definition: GaugeDefinition) => void;
   /** Returns all metrics in the Prometheus text format. */
@@ -111,6 +111,77 @@
   };
 }
 
+/** Creates the counter of routes: how many reads replicas serve, and why not. */
+function createRouteCounter(registry: Registry): EventCounter {
+  const role = createLabel();
+  const reason = createLabel();
+  const routes = new Counter({
+    name: 'lacewingroad_routes_total',
+    help: 'Attempts that were sent, by role of the endpoint and reason.',
+    labelNames: ['endpoint_role', 'reason'],
+    registers: [registry],
+  });
+  return fields =>
+    routes.inc({
+      endpoint_role: role(fields['endpoint_role']),
+      reason: reason(fields['reason']),
+    });
+}
+
+/** Creates the counter of requests that wait before they are sent again. */
+function createWaitCounter(registry: Registry): EventCounter {
+  const reason = createLabel();
+  const waits = new Counter({
+    name: 'lacewingroad_retries_total',
+    help: 'Requests that wait to be sent again, by reason.',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
+  return fields => waits.inc({reason: reason(fields['reason'])});
+}
+
+/** Creates the counter of what pools hand back. */
+function createRefusalCounter(registry: Registry): EventCounter {
+  const endpoint = createLabel();
+  const rank = createLabel();
+  const reason = createLabel();
+  const refusals = new Counter({
+    name: 'lacewingroad_pool_refusals_total',
+    help: 'Requests that a pool handed back without running them.',
+    labelNames: ['endpoint', 'rank', 'reason'],
+    registers: [registry],
+  });
+  return fields =>
+    refusals.inc({
+      endpoint: endpoint(fields['endpoint']),
+      rank: rank(fields['rank']),
+      reason: reason(fields['reason']),
+    });
+}
+
+/** Creates the histogram of the time that requests wait for a slot. */
+function createQueueHistogram(registry: Registry): EventCounter {
+  const endpoint = createLabel();
+  const rank = createLabel();
+  const waits = new Histogram({
+    name: 'lacewingroad_queue_wait_seconds',
+    help: 'Time from taking a request into the queue to running it.',
+    labelNames: ['endpoint', 'rank'],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [registry],
+  });
+  return fields => {
+    const waitMs = fields['waited_ms'];
+    if (typeof waitMs === 'number') {
+      const labels = {
+        endpoint: endpoint(fields['endpoint']),
+        rank: rank(fields['rank']),
+      };
+      waits.observe(labels, waitMs / MS_PER_SECOND);
+    }
+  };
+}
+
 /**
  * Creates the metrics of one entry host. `withProcess` adds those of the
  * process itself (processor time, memory, event loop), once per process.
@@ -136,8 +207,16 @@
       eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS,
     });
   }
+  const countRequest = createRequestCounter(registry);
   const counters: Readonly<Record<string, EventCounter>> = {
-    request_done: createRequestCounter(registry),
+    request_done: countRequest,
+    request_failed: countRequest,
+    request_not_run: countRequest,
+    request_unknown: countRequest,
+    request_sent: createRouteCounter(registry),
+    request_waits: createWaitCounter(registry),
+    job_refused: createRefusalCounter(registry),
+    job_started: createQueueHistogram(registry),
   };
   return {
     count: (event, fields) => {
@@ -147,7 +226,7 @@
       }
     },
     countSuppressedLines: lines => lostLines.inc({reason: 'suppressed'}, lines),
-    countDroppedLines: lines => lostLines.inc({reason: 'slow_reader'}, lines),
+    countDroppedLine: () => lostLines.inc({reason: 'slow_reader'}),
     registerGauge: definition => registerGauge(registry, definition),
     readText: () => registry.metrics(),
     contentType: registry.contentType,
--- a/packages/telemetry/src/recorder.ts
+++ b/packages/telemetry/src/recorder.ts
@@ -6,6 +6,7 @@
 import type {EventLevel, TimelineEvent} from './event_line.js';
 import {createEventRing} from './event_ring.js';
 import type {Hlc} from './hlc.js';
+import type {LogDestination} from './stdout_destination.js';
 import {createLineLimit} from './line_limit.js';
 import {createRequestTrails} from './request_trails.js';
 import {createMetrics} from './metrics.js';
@@ -20,18 +21,6 @@
 /** Ends of a request whose story nobody will ask for. */
 const QUIET_END = 'request_done';
 
-/** Log bytes that wait for a slow reader; lines beyond are dropped. */
-const MAX_BUFFERED_LOG_BYTES = 8 * 1024 * 1024;
-
-/** Where log lines go; each has a line break at its end. */
-export interface LogDestination {
-  readonly write: (line: string) => void;
-  /** Writes out at once what is still buffered. */
-  readonly flushSync: () => void;
-  /** Calls the listener with each count of lines that were dropped. */
-  readonly onDrop?: (listener: (lines: number) => void) => void;
-}
-
 /** What a recorder is made of. */
 export interface RecorderConfig {
   readonly host: string;
@@ -56,8 +45,8 @@
   /** Returns the kept events with a higher `seq`, oldest first. */
   readonly readEvents: (afterSeq: number) => readonly TimelineEvent[];
   readonly metrics: Metrics;
-  /** Writes out at once what is still buffered. */
-  readonly flush: () => void;
+  /** Writes out what is still buffered; resolves even if nobody reads it. */
+  readonly flush: () => Promise<void>;
 }
 
 type Fields = Readonly<Record<string, FieldValue>>;
@@ -69,26 +58,6 @@
   error: 3,
 };
 
-/** Returns a destination on the standard output, without a worker thread. */
-export function createStdoutDestination(): LogDestination {
-  const stream = pino.destination({
-    fd: 1,
-    sync: false,
-    maxLength: MAX_BUFFERED_LOG_BYTES,
-  });
-  // Serving goes on when nobody reads the log any more.
-  stream.on('error', () => undefined);
-  return {
-    write: line => {
-      stream.write(line);
-    },
-    flushSync: () => stream.flushSync(),
-    onDrop: listener => {
-      stream.on('drop', () => listener(1));
-    },
-  };
-}
-
 /** The stream that pino writes to; turns each event into key=value pairs. */
 function createLineStream(destination: LogDestination) {
   return {
@@ -118,7 +87,7 @@
   const stream = createLineStream(cfg.destination);
   const logger = pino({level: 'debug', base: null, timestamp: false}, stream);
   let seq = 0;
-  cfg.destination.onDrop?.(lines => metrics.countDroppedLines(lines));
+  cfg.destination.onDrop?.(() => metrics.countDroppedLine());
 
   const create = (
     level: EventLevel,
@@ -182,7 +151,7 @@
     metrics,
     flush: () => {
       writeSuppressed(Infinity);
-      cfg.destination.flushSync();
+      return cfg.destination.flush();
     },
   };
 }
