Answer over the connection heard last, and end all connections with the first

Cause: two hosts may have a connection each way. Where the network forgot one of them, the side that had not noticed yet answered over it; the other side had given it up long ago, heard no peer_down for the lost answer, and its read waited 15 s and was told 9102.

Change: answers go over the connection that was heard last, and when one connection of a pair ends the other is ended, so that both sides hear it.

Also: settings are read again at SIGHUP; each settings fault names a remedy.

--- a/packages/daemon/src/__tests__/integration/entry_process.js
+++ b/packages/daemon/src/__tests__/integration/entry_process.js
@@ -36,6 +36,7 @@
   performers: {},
   port: 1,
   stopListening: () => undefined,
+  setUsers: () => undefined,
   close: () => Promise.resolve(),
 });
 
--- a/packages/daemon/src/__tests__/integration/run_entry.test.ts
+++ b/packages/daemon/src/__tests__/integration/run_entry.test.ts
@@ -1,7 +1,7 @@
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -129,6 +129,38 @@
     expect(daemon.readOutput()).toContain('host: found 5');
   });
 
+  it('takes changed settings into force at SIGHUP, and names those that need a restart', async () => {
+    const path = await writeSettings();
+    const daemon = startDaemon(path, 'finish');
+    await waitForOutput(daemon, 'event=listening');
+    const changed = readFileSync(path, 'utf8')
+      .replace("'http://127.0.0.1:9'", "'http://127.0.0.1:10'")
+      .replace('user: proxy', 'user: other');
+    writeFileSync(path, `${changed}log: {level: debug}\ndrain_seconds: 7\n`);
+    daemon.child.kill('SIGHUP');
+    await waitForOutput(daemon, 'event=settings_reloaded');
+    expect(daemon.readOutput()).toContain(
+      'event=settings_reloaded applied=log,drainSeconds need_restart=platform,endpoints',
+    );
+    daemon.child.kill('SIGTERM');
+    expect(await daemon.exited).toBe(0);
+    const left = /left_ms=(\d+)/.exec(daemon.readOutput())?.[1];
+    expect(Number(left)).toBeLessThanOrEqual(7_000);
+  });
+
+  it('goes on with the settings in force when those at SIGHUP are wrong', async () => {
+    const path = await writeSettings();
+    const daemon = startDaemon(path, 'finish');
+    await waitForOutput(daemon, 'event=listening');
+    writeFileSync(path, 'host: 5\nunknown: 1\n');
+    daemon.child.kill('SIGHUP');
+    await waitForOutput(daemon, 'event=settings_rejected');
+    expect(daemon.readOutput()).toContain('unknown: found an unknown key');
+    expect(daemon.readOutput()).toContain('host: found 5');
+    daemon.child.kill('SIGTERM');
+    expect(await daemon.exited).toBe(0);
+  });
+
   it('says when a port is taken', async () => {
     const path = await writeSettings();
     const first = startDaemon(path, 'finish');
--- a/packages/daemon/src/parts.ts
+++ b/packages/daemon/src/parts.ts
@@ -19,6 +19,8 @@
   readonly port: number;
   /** Takes no new callers; those connected go on. */
   readonly stopListening: () => void;
+  /** Replaces the users that may log in; callers logged in go on. */
+  readonly setUsers: (users: readonly UserSettings[]) => void;
 }
 
 /** What the adapter towards endpoints needs. */
--- a/packages/daemon/src/run_entry.ts
+++ b/packages/daemon/src/run_entry.ts
@@ -15,6 +15,8 @@
   settings: 2,
 } as const;
 
+/** Has the settings file read again. */
+const RELOAD_SIGNAL = 'SIGHUP';
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 const MS_PER_SECOND = 1_000;
 
@@ -76,7 +78,8 @@
     );
     process.exit(EXIT_CODES.failure);
   }
+  process.on(RELOAD_SIGNAL, () => host.reload(loadSettings(settingsPath)));
   await stopped;
-  await stopGracefully(host, runtime, settings.drainSeconds);
+  await stopGracefully(host, runtime, host.readSettings().drainSeconds);
   process.exit(EXIT_CODES.ok);
 }
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -1,12 +1,17 @@
 /** Wires the parts of an entry host; the only module that knows them all. */
 
 import {merge} from 'rxjs';
+import type {Result} from 'ts-results';
 import type {HostObject} from '@lacewingroad/core';
 import {createPeerAdapter} from '@lacewingroad/peer';
 import {createPlatformAdapter} from '@lacewingroad/platform';
 import {waitUntil} from '@lacewingroad/runtime';
 import type {Instant, Runtime} from '@lacewingroad/runtime';
-import type {SeedSettings, Settings} from '@lacewingroad/settings';
+import type {
+  SeedSettings,
+  Settings,
+  SettingsError,
+} from '@lacewingroad/settings';
 import {
   createHlc,
   createRecorder,
@@ -18,6 +23,7 @@
 import {createOperatorAdapter} from './operator_http.js';
 import {DEFAULT_PARTS} from './parts.js';
 import type {CallerPort, EntryParts} from './parts.js';
+import {compareSettings} from './reload.js';
 import {createBoardGauges} from './board_gauges.js';
 import {createTimers} from './timers.js';
 
@@ -40,6 +46,13 @@
   readonly ready: Promise<EntryPorts>;
   /** Takes no new work; resolves once what runs has ended. */
   readonly drain: (deadline: Instant) => Promise<void>;
+  /**
+   * Puts other settings into force, but for those that only a restart can
+   * change; the log names both. Settings with faults change nothing.
+   */
+  readonly reload: (loaded: Result<Settings, SettingsError>) => void;
+  /** Returns the settings that were loaded last. */
+  readonly readSettings: () => Settings;
   /** Ends everything at once; resolves once all sockets are closed. */
   readonly close: () => Promise<void>;
 }
@@ -241,8 +254,30 @@
     await waitUntil(runtime, runtime.now() + DRAIN_FLUSH_MS);
   };
 
+  let inForce = settings;
+  const reload = (loaded: Result<Settings, SettingsError>): void => {
+    if (loaded.err) {
+      recorder.record({
+        type: 'record',
+        level: 'warn',
+        event: 'settings_rejected',
+        fields: {detail: loaded.val.message},
+      });
+      return;
+    }
+    const next = loaded.val;
+    const {applied, needRestart} = compareSettings(inForce, next);
+    recorder.configure(next.log);
+    caller?.setUsers(next.users);
+    inForce = next;
+    recordOwn('settings_reloaded', {
+      applied: applied.join(),
+      need_restart: needRestart.join(),
+    });
+  };
+
   const ready = start();
   // Whoever waits for `ready` learns of the fault; nobody has to.
   ready.catch(() => undefined);
-  return {ready, drain, close};
+  return {ready, drain, reload, readSettings: () => inForce, close};
 }
--- a/packages/mysql/src/caller_adapter.ts
+++ b/packages/mysql/src/caller_adapter.ts
@@ -39,6 +39,14 @@
   readonly port: number;
   /** Takes no new callers; those connected go on. */
   readonly stopListening: () => void;
+  /** Replaces the users that may log in; callers logged in go on. */
+  readonly setUsers: (users: readonly CallerUser[]) => void;
+}
+
+function indexUsers(
+  users: readonly CallerUser[],
+): ReadonlyMap<string, CallerUser> {
+  return new Map(users.map(user => [user.name, user]));
 }
 
 /**
@@ -50,7 +58,7 @@
   cfg: CallerAdapterConfig,
 ): Promise<CallerAdapter> {
   const events = new Subject<Event>();
-  const users = new Map(cfg.users.map(user => [user.name, user]));
+  let users = indexUsers(cfg.users);
   const connections = new Set<CallerConnection>();
   const callers = new Map<CallerId, CallerConnection>();
   const maxCallers = cfg.maxCallers ?? MAX_CALLERS;
@@ -75,7 +83,7 @@
     };
     const created: CallerConnection = createCallerConnection(connection, {
       runtime: cfg.runtime,
-      users,
+      readUsers: () => users,
       serverVersion: cfg.serverVersion ?? DEFAULT_SERVER_VERSION,
       nextId: () => {
         forget();
@@ -110,6 +118,9 @@
     events$: events.asObservable(),
     port: (server.address() as AddressInfo).port,
     stopListening,
+    setUsers: next => {
+      users = indexUsers(next);
+    },
     performers: {
       reply: action =>
         callers.get(action.caller)?.reply(action.seq, action.reply),
--- a/packages/mysql/src/caller_connection.ts
+++ b/packages/mysql/src/caller_connection.ts
@@ -42,7 +42,7 @@
 /** What a connection needs from its adapter. */
 export interface CallerConnectionConfig {
   readonly runtime: Runtime;
-  readonly users: ReadonlyMap<string, CallerUser>;
+  readonly readUsers: () => ReadonlyMap<string, CallerUser>;
   readonly serverVersion: string;
   /** Returns the next caller id. */
   readonly nextId: () => CallerId;
@@ -155,7 +155,7 @@
   const onAuth = (params: AuthParams): void => {
     cancelHandshakeTimer();
     const sequence = HELLO_REPLY_SEQUENCE + 1;
-    const found = authenticate(cfg.users, params);
+    const found = authenticate(cfg.readUsers(), params);
     if (found === null) {
       refuse(sequence, SqlErrors.accessDenied);
       return;
@@ -208,7 +208,7 @@
   const changeUser = (packet: PacketReader): void => {
     const {clientFlags} = connection.clientHelloReply;
     const req = readChangeUser(packet, clientFlags);
-    const user = authenticate(cfg.users, {...challenge!, ...req});
+    const user = authenticate(cfg.readUsers(), {...challenge!, ...req});
     if (user === null) {
       refuse(answerSequence, SqlErrors.accessDenied);
       return;
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -42,6 +42,8 @@
 export interface Link {
   /** Sends with all other messages of this turn of the loop. */
   readonly send: (msg: PeerMessage) => void;
+  /** Returns when anything last arrived. */
+  readonly readHeardAt: () => Instant;
   /** Pings when the connection is quiet, and ends it when it is silent. */
   readonly check: (now: Instant) => void;
   /** Restarts the measure of silence, after this process was paused. */
@@ -170,6 +172,7 @@
         queueMicrotask(flush);
       }
     },
+    readHeardAt: () => heardAt,
     check: now => {
       if (!isReady || isClosed) {
         return;
--- a/packages/peer/src/peer.ts
+++ b/packages/peer/src/peer.ts
@@ -31,7 +31,9 @@
  * Connections to one host. They form one generation, which is over as soon as
  * any of them ends: whoever hears `peer_down` must take it that what was sent
  * and not answered may be lost, and whoever has heard `peer_up` last must take
- * it that what is sent may arrive.
+ * it that what is sent may arrive. All connections end with the first, so that
+ * the other side hears `peer_down` too: an answer may have been lost on a
+ * connection that it has given up long ago.
  */
 export interface Peer {
   /** Sends, over a new connection if there is none. */
@@ -127,6 +129,19 @@
     return replaced.length > 0;
   };
 
+  /**
+   * Returns the connection that was heard last, or null: the other may be
+   * silent for good, which is not noticed at once.
+   */
+  const chooseLink = (): Link | null => {
+    const own = links.get('own')?.link ?? null;
+    const accepted = links.get('accepted')?.link ?? null;
+    if (own === null || accepted === null) {
+      return own ?? accepted;
+    }
+    return own.readHeardAt() >= accepted.readHeardAt() ? own : accepted;
+  };
+
   const sendWaiting = (link: Link): void => {
     const msgs = waiting;
     waiting = [];
@@ -135,12 +150,12 @@
 
   return {
     send: msg => {
-      const open = links.get('own') ?? links.get('accepted');
-      if (open === undefined) {
+      const link = chooseLink();
+      if (link === null) {
         wait(msg);
         return;
       }
-      open.link.send(msg);
+      link.send(msg);
     },
     open: (side, link, incarnation) => {
       if (attempt === link) {
@@ -179,7 +194,9 @@
       }
       const ended = [...links].find(([, open]) => open.link === link);
       if (ended !== undefined) {
-        links.delete(ended[0]);
+        const rest = [...links.values()].filter(open => open !== ended[1]);
+        links.clear();
+        rest.forEach(open => open.link.terminate());
         endGeneration();
       }
     },
--- a/packages/settings/src/load_settings.ts
+++ b/packages/settings/src/load_settings.ts
@@ -67,10 +67,18 @@
       path: formatPath([...issue.path, key]),
       found: 'an unknown key',
       allowed: issue.message,
+      remedy: 'remove the key, or correct its name',
     }));
   }
-  const found = describeFound(readPath(root, issue.path), issue.path);
-  return [{path: formatPath(issue.path), found, allowed: issue.message}];
+  const value = readPath(root, issue.path);
+  return [
+    {
+      path: formatPath(issue.path),
+      found: describeFound(value, issue.path),
+      allowed: issue.message,
+      remedy: value === undefined ? 'add the key' : 'replace the value',
+    },
+  ];
 }
 
 /** Finds values that stand twice where each must differ. */
@@ -83,7 +91,8 @@
   for (const [path, value] of values) {
     if (value !== undefined && seen.has(value)) {
       const found = `${describeFound(value, path)} a second time`;
-      faults.push({path: formatPath(path), found, allowed});
+      const remedy = 'change one of them';
+      faults.push({path: formatPath(path), found, allowed, remedy});
     }
     seen.add(value);
   }
@@ -142,6 +151,7 @@
       path: `line ${err.linePos?.[0].line ?? 1}`,
       found: err.message.split('\n')[0] ?? err.code,
       allowed: 'YAML with each key once',
+      remedy: 'correct the line',
     }));
     return Err(createSettingsError('not_yaml', faults));
   }
@@ -163,7 +173,8 @@
   } catch (err) {
     const found = err instanceof Error ? err.message : String(err);
     const allowed = 'a YAML file that this process may read';
-    const fault = {path: '(file)', found, allowed};
+    const remedy = 'check its path and rights';
+    const fault = {path: '(file)', found, allowed, remedy};
     return Err(createSettingsError('unreadable', [fault]));
   }
 }
--- a/packages/settings/src/settings_error.ts
+++ b/packages/settings/src/settings_error.ts
@@ -8,6 +8,8 @@
   readonly found: string;
   /** What may stand there. */
   readonly allowed: string;
+  /** What to do about it. */
+  readonly remedy: string;
 }
 
 /** Why settings could not be loaded. */
@@ -31,7 +33,7 @@
 
 /** Returns a fault as one line. */
 function formatFault(fault: SettingsFault): string {
-  return `  ${fault.path}: found ${fault.found}; allowed: ${fault.allowed}`;
+  return `  ${fault.path}: found ${fault.found}; allowed: ${fault.allowed}; ${fault.remedy}`;
 }
 
 /** Creates an error whose message lists every fault. */
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -9,7 +9,7 @@
 export type {GaugeDefinition, GaugeSample} from './gauges.js';
 export type {Metrics} from './metrics.js';
 export {createRecorder, DEFAULT_RING_CAPACITY} from './recorder.js';
-export type {Recorder, RecorderConfig} from './recorder.js';
+export type {LogSettings, Recorder, RecorderConfig} from './recorder.js';
 export {createStdoutDestination} from './stdout_destination.js';
 export type {LogDestination} from './stdout_destination.js';
 export {mergeTimeline} from './timeline.js';
--- a/packages/telemetry/src/recorder.ts
+++ b/packages/telemetry/src/recorder.ts
@@ -21,10 +21,8 @@
 /** Ends of a request whose story nobody will ask for. */
 const QUIET_END = 'request_done';
 
-/** What a recorder is made of. */
-export interface RecorderConfig {
-  readonly host: string;
-  readonly hlc: Hlc;
+/** What the log holds; may change while a process runs. */
+export interface LogSettings {
   /**
    * Events below it are counted, but logged and kept only where they belong to
    * a request that fails.
@@ -32,6 +30,12 @@
   readonly level: EventLevel;
   /** Lines a second of each kind of event; 0 for no limit. */
   readonly linesPerSecond: number;
+}
+
+/** What a recorder is made of. */
+export interface RecorderConfig extends LogSettings {
+  readonly host: string;
+  readonly hlc: Hlc;
   readonly destination: LogDestination;
   readonly ringCapacity?: number;
   /** Whether to add the metrics of the process itself. */
@@ -45,6 +49,8 @@
   /** Returns the kept events with a higher `seq`, oldest first. */
   readonly readEvents: (afterSeq: number) => readonly TimelineEvent[];
   readonly metrics: Metrics;
+  /** Puts other settings of the log into force. */
+  readonly configure: (settings: LogSettings) => void;
   /** Writes out what is still buffered; resolves even if nobody reads it. */
   readonly flush: () => Promise<void>;
 }
@@ -82,7 +88,8 @@
 export function createRecorder(cfg: RecorderConfig): Recorder {
   const ring = createEventRing(cfg.ringCapacity ?? DEFAULT_RING_CAPACITY);
   const trails = createRequestTrails(MAX_TRAILS);
-  const limit = createLineLimit(cfg.linesPerSecond);
+  let {level: leastLevel} = cfg;
+  let limit = createLineLimit(cfg.linesPerSecond);
   const metrics = createMetrics(cfg.withProcessMetrics ?? false);
   const stream = createLineStream(cfg.destination);
   const logger = pino({level: 'debug', base: null, timestamp: false}, stream);
@@ -141,7 +148,7 @@
     record: ({level, event, fields}) => {
       metrics.count(event, fields);
       const created = create(level, event, fields);
-      if (LEVEL_ORDER[level] < LEVEL_ORDER[cfg.level]) {
+      if (LEVEL_ORDER[level] < LEVEL_ORDER[leastLevel]) {
         keepQuietly(created);
         return;
       }
@@ -149,6 +156,11 @@
     },
     readEvents: ring.readAfter,
     metrics,
+    configure: settings => {
+      writeSuppressed(Infinity);
+      leastLevel = settings.level;
+      limit = createLineLimit(settings.linesPerSecond);
+    },
     flush: () => {
       writeSuppressed(Infinity);
       return cfg.destination.flush();
