--- a/packages/daemon/src/__tests__/unit/fake_parts.ts
+++ b/packages/daemon/src/__tests__/unit/fake_parts.ts
@@ -117,6 +117,7 @@
         performers: {reply: perform, close_caller: perform},
         port: 1,
         stopListening: () => undefined,
+        setUsers: () => undefined,
         close: () => Promise.resolve(),
       }),
     createEndpointAdapter: () => ({
