Give every refused statement an id, and explain three kinds of failed request

Statements that a host answers by itself (no service, a lost write of the session) had no id, so that nothing could be found from what the caller saw. They take one now, and are logged as statement_refused or session_write_lost. Counted: calls of the platform.

--- a/packages/core/src/__tests__/unit/control/lapsed_hosts.test.ts
+++ b/packages/core/src/__tests__/unit/control/lapsed_hosts.test.ts
@@ -77,7 +77,8 @@
     story.advance(2_000);
     const events = story.actions.filter(
       action =>
-        action.type === 'record' && action.event.startsWith('platform_'),
+        action.type === 'record' &&
+        ['platform_lost', 'platform_regained'].includes(action.event),
     );
     expect(events).toMatchObject([
       {event: 'platform_lost', fields: {kind: 'refused', detail: 'is down'}},
--- a/packages/core/src/control/sync.ts
+++ b/packages/core/src/control/sync.ts
@@ -14,6 +14,7 @@
 } from './constants.js';
 import {describeView, hasPaused} from './facts.js';
 import {applyRelayObservations} from './membership.js';
+import {describePlatformCall} from './platform_calls.js';
 import {chooseInTurn, listSources} from './sources.js';
 import {
   applyChanges,
@@ -226,6 +227,7 @@
   return unchanged(
     setRelay(board, {readDeadline: deadline, nextReadAt: null}),
     {type: 'read_platform', since: board.view.revision, deadline},
+    describePlatformCall('read'),
   );
 }
 
--- a/packages/core/src/control/updates.ts
+++ b/packages/core/src/control/updates.ts
@@ -11,6 +11,7 @@
 } from './constants.js';
 import {listRelays} from './membership.js';
 import {chooseByRendezvous} from './rendezvous.js';
+import {describePlatformCall} from './platform_calls.js';
 import {applyChanges} from './view.js';
 import {indexHosts} from './view_index.js';
 import type {
@@ -144,6 +145,7 @@
       value,
       deadline,
     },
+    describePlatformCall('update'),
     {
       type: 'record',
       level: 'info',
--- a/packages/core/src/entry/dispatch.ts
+++ b/packages/core/src/entry/dispatch.ts
@@ -158,7 +158,7 @@
   }
   const group = readGroup(board, request.group)!;
   const removed = removeRequest(board, request.id);
-  return replyLostWrite(removed, caller, group, ctx.now);
+  return replyLostWrite(removed, caller, group, request.id, ctx.now);
 }
 
 /** Tells where a request goes, and by what knowledge. */
--- a/packages/core/src/entry/error.ts
+++ b/packages/core/src/entry/error.ts
@@ -21,9 +21,22 @@
 /** A kind of error. */
 export type ErrorKind = keyof typeof ERROR_CODES;
 
-/** Returns an error of a kind; the message names the remedy. */
-export function createError(kind: ErrorKind, message: string): SqlError {
-  return {...ERROR_CODES[kind], message: `lacewingroad: ${message}`};
+/** Returns the end of a message by which the logs tell the cause. */
+function formatRequest(request: RequestId | null): string {
+  return request === null ? '' : ` (request ${request})`;
+}
+
+/**
+ * Returns an error of a kind; the message names the remedy, and the request by
+ * which the logs tell the cause.
+ */
+export function createError(
+  kind: ErrorKind,
+  message: string,
+  request: RequestId | null = null,
+): SqlError {
+  const text = `lacewingroad: ${message}${formatRequest(request)}`;
+  return {...ERROR_CODES[kind], message: text};
 }
 
 const NOT_RUN_MESSAGES: Readonly<Record<NotRunReason, string>> = {
@@ -57,26 +70,23 @@
 type RefusalHandlers = {
   readonly [T in Refusal['type']]: (
     outcome: Extract<Refusal, {type: T}>,
-    suffix: string,
+    request: RequestId | null,
   ) => SqlError;
 };
 
-/** Returns the end of a message by which the logs tell the cause. */
-function formatRequest(request: RequestId | null): string {
-  return request === null ? '' : ` (request ${request})`;
-}
-
 const REFUSALS: RefusalHandlers = {
   failed: outcome => outcome.error,
-  not_run: (outcome, suffix) =>
+  not_run: (outcome, request) =>
     createError(
       'not_run',
-      `not run: ${NOT_RUN_MESSAGES[outcome.reason]}. Nothing took effect; send it again.${suffix}`,
+      `not run: ${NOT_RUN_MESSAGES[outcome.reason]}. Nothing took effect; send it again.`,
+      request,
     ),
-  unknown: (outcome, suffix) =>
+  unknown: (outcome, request) =>
     createError(
       'unknown',
-      `outcome unknown: ${UNKNOWN_MESSAGES[outcome.reason]}. It may have taken effect; look before you send it again, or send it again with its request key.${suffix}`,
+      `outcome unknown: ${UNKNOWN_MESSAGES[outcome.reason]}. It may have taken effect; look before you send it again, or send it again with its request key.`,
+      request,
     ),
 };
 
@@ -87,9 +97,9 @@
 ): SqlError {
   const create = REFUSALS[outcome.type] as (
     refusal: Refusal,
-    suffix: string,
+    request: RequestId | null,
   ) => SqlError;
-  return create(outcome, formatRequest(request));
+  return create(outcome, request);
 }
 
 /** Returns the error for a transaction that can no longer commit. */
@@ -99,6 +109,7 @@
 ): SqlError {
   return createError(
     'rolled_back',
-    `the transaction was rolled back: ${cause}. None of it took effect; send it again from its start.${formatRequest(request)}`,
+    `the transaction was rolled back: ${cause}. None of it took effect; send it again from its start.`,
+    request,
   );
 }
--- a/packages/core/src/entry/holders.ts
+++ b/packages/core/src/entry/holders.ts
@@ -62,7 +62,7 @@
 export function storeThenReply(
   board: Blackboard,
   caller: Caller,
-  write: {readonly group: GroupId; readonly request: RequestId | null},
+  write: {readonly group: GroupId; readonly request: RequestId},
   reply: Reply,
   now: Instant,
 ): Change {
--- a/packages/core/src/entry/lost_write.ts
+++ b/packages/core/src/entry/lost_write.ts
@@ -8,39 +8,60 @@
 } from './callers.js';
 import {createError} from './error.js';
 import {storeThenReply} from './holders.js';
+import {takeRequestId} from './requests.js';
 import {readTermStart} from './route.js';
 import type {Caller} from './state.js';
+import {describeView} from '../control/facts.js';
+import type {Action} from '../engine/action.js';
 import type {Blackboard} from '../engine/blackboard.js';
 import type {Change} from '../engine/engine.js';
 import type {GroupObject} from '../model/group.js';
-import type {Instant} from '../model/ids.js';
+import type {Instant, RequestId} from '../model/ids.js';
 
 /**
  * Tells a session of a write that was lost, once. From then on the session
  * holds the start of the current term, which covers its surviving writes.
+ * `sent` is the request that met the loss, or null where none was begun.
  */
 export function replyLostWrite(
   board: Blackboard,
   caller: Caller,
   group: GroupObject,
+  sent: RequestId | null,
   now: Instant,
 ): Change {
-  const next = updateCaller(board, caller.id, {
+  const taken = sent === null ? takeRequestId(board) : {board, id: sent};
+  const request = taken.id;
+  const next = updateCaller(taken.board, caller.id, {
     positions: caller.positions.set(group.id, readTermStart(group)),
   });
   const current = readCaller(next, caller.id) ?? caller;
   const error = createError(
     'lost_write',
     'a write of this session was lost in a change of primary. This statement did not run. Check the last payments or approvals, and send again what is missing.',
+    request,
   );
   const reply = createErrorReply(current, error);
-  return caller.isNamedSession
-    ? storeThenReply(
-        next,
-        current,
-        {group: group.id, request: null},
-        reply,
-        now,
-      )
+  const change = caller.isNamedSession
+    ? storeThenReply(next, current, {group: group.id, request}, reply, now)
     : finishStatement(next, caller.id, reply);
+  const lost = caller.positions.get(group.id);
+  const start = readTermStart(group);
+  const told: Action = {
+    type: 'record',
+    level: 'warn',
+    event: 'session_write_lost',
+    fields: {
+      request,
+      group: group.id,
+      session: caller.session,
+      lost_term: lost?.term ?? null,
+      lost_index: lost?.index ?? null,
+      term: start.term,
+      start_index: start.index,
+      primary: group.primary,
+      ...describeView(board, now),
+    },
+  };
+  return {board: change.board, actions: [told, ...change.actions]};
 }
--- a/packages/core/src/entry/replies.ts
+++ b/packages/core/src/entry/replies.ts
@@ -8,6 +8,8 @@
 } from './callers.js';
 import {createError, createRolledBackError} from './error.js';
 import type {ErrorKind} from './error.js';
+import {takeRequestId} from './requests.js';
+import type {Action} from '../engine/action.js';
 import type {Blackboard} from '../engine/blackboard.js';
 import {unchanged} from '../engine/engine.js';
 import type {Change} from '../engine/engine.js';
@@ -34,10 +36,25 @@
   message: string,
 ): Change {
   const caller = readCaller(board, id);
-  const error = createError(kind, message);
-  return caller === null
-    ? unchanged(board)
-    : finishStatement(board, id, createErrorReply(caller, error));
+  if (caller === null) {
+    return unchanged(board);
+  }
+  const {board: next, id: request} = takeRequestId(board);
+  const error = createError(kind, message, request);
+  const change = finishStatement(next, id, createErrorReply(caller, error));
+  const refused: Action = {
+    type: 'record',
+    level: 'info',
+    event: 'statement_refused',
+    fields: {
+      request,
+      service: caller.service,
+      error: kind,
+      detail: message,
+      view_revision: board.view.revision,
+    },
+  };
+  return {board: change.board, actions: [refused, ...change.actions]};
 }
 
 /** Tells a caller that its transaction was lost with its entry host. */
--- a/packages/core/src/entry/requests.ts
+++ b/packages/core/src/entry/requests.ts
@@ -25,6 +25,15 @@
   return `${host}.${incarnation}.${board.requests.next}`;
 }
 
+/** Takes an id for a statement that this host answers without sending it. */
+export function takeRequestId(board: Blackboard): {
+  readonly board: Blackboard;
+  readonly id: RequestId;
+} {
+  const next = setRequests(board, {next: board.requests.next + 1});
+  return {board: next, id: readNextRequestId(board)};
+}
+
 /** Adds a request, and what it adds to the retries that may be spent. */
 export function addRequest(board: Blackboard, request: Request): Blackboard {
   const {next, byId, retryTokens} = board.requests;
--- a/packages/core/src/entry/start_request.ts
+++ b/packages/core/src/entry/start_request.ts
@@ -79,7 +79,7 @@
   }
   const group = readGroup(board, table.group);
   if (group !== null && isSessionWriteLost(group, caller)) {
-    return replyLostWrite(board, caller, group, ctx.now);
+    return replyLostWrite(board, caller, group, null, ctx.now);
   }
   const kind = readKind(caller, classified.hints.kind);
   const row = findRow(table, kind);
--- a/packages/core/src/entry/state.ts
+++ b/packages/core/src/entry/state.ts
@@ -150,8 +150,8 @@
 export interface StoreAsk {
   readonly type: 'store';
   readonly caller: CallerId;
-  /** The request that wrote; null for the loss of an earlier write. */
-  readonly request: RequestId | null;
+  /** The request that wrote, or that was told of an earlier loss. */
+  readonly request: RequestId;
   readonly seq: number;
   readonly reply: Reply;
   readonly waitingFor: readonly HostId[];
--- a/packages/telemetry/src/explain.ts
+++ b/packages/telemetry/src/explain.ts
@@ -89,6 +89,11 @@
     `lost connection ${show(fields, 'conn')} to ${show(fields, 'endpoint')} while it ran there: ${show(fields, 'reason')}.`,
   tx_broken: fields =>
     `ended its transaction ${show(fields, 'tx')}, which can no longer commit.`,
+  statement_refused: fields =>
+    `answered it without sending it anywhere (${show(fields, 'error')}): ${show(fields, 'detail')}`,
+  session_write_lost: fields =>
+    `told the session of a write that was lost: it had seen index ${show(fields, 'lost_index')} of term ${show(fields, 'lost_term')}, ` +
+    `and term ${show(fields, 'term')} goes on from index ${show(fields, 'start_index')} at ${show(fields, 'primary')}; decided ${showView(fields)}.`,
   session_not_stored: fields =>
     `could not have its session kept: ${show(fields, 'stored')} of ${show(fields, 'needed')} hosts confirmed, missing ${show(fields, 'missing')}.`,
   request_done: tellEnd,
@@ -197,6 +202,20 @@
   return `${event.stamp} ${event.host} ${event.event} ${pairs.join(' ')}`;
 }
 
+/** Returns what would have changed the outcome; empty where it was done. */
+function findRemedy(own: readonly TimelineEvent[]): string {
+  if (own.some(({event}) => event === 'session_write_lost')) {
+    return REMEDIES['replaced_primary']!;
+  }
+  if (own.some(({event}) => event === 'request_done')) {
+    return '';
+  }
+  const reasons = own
+    .map(({fields}) => String(fields['reason']))
+    .filter(reason => Object.hasOwn(REMEDIES, reason));
+  return REMEDIES[reasons.at(-1) ?? ''] ?? '';
+}
+
 /** Explains a request; null where no event tells of it. */
 export function explainRequest(
   events: readonly TimelineEvent[],
@@ -207,15 +226,10 @@
   if (own.length === 0) {
     return null;
   }
-  const reason = own
-    .map(({fields}) => fields['reason'])
-    .filter(value => typeof value === 'string' && value in REMEDIES)
-    .at(-1);
-  const isDone = own.some(({event}) => event === 'request_done');
   return {
     request,
     story: own.map(tellStep),
     context: findContext(all, own).map(tellContext),
-    remedy: isDone || reason === undefined ? '' : REMEDIES[String(reason)]!,
+    remedy: findRemedy(own),
   };
 }
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -140,6 +140,18 @@
   return fields => waits.inc({reason: reason(fields['reason'])});
 }
 
+/** Creates the counter of calls that the platform counts, too. */
+function createPlatformCounter(registry: Registry): EventCounter {
+  const call = createLabel();
+  const calls = new Counter({
+    name: 'lacewingroad_platform_calls_total',
+    help: 'Calls of the platform, by kind.',
+    labelNames: ['call'],
+    registers: [registry],
+  });
+  return fields => calls.inc({call: call(fields['call'])});
+}
+
 /** Creates the counter of what pools hand back. */
 function createRefusalCounter(registry: Registry): EventCounter {
   const endpoint = createLabel();
@@ -215,6 +227,7 @@
     request_unknown: countRequest,
     request_sent: createRouteCounter(registry),
     request_waits: createWaitCounter(registry),
+    platform_called: createPlatformCounter(registry),
     job_refused: createRefusalCounter(registry),
     job_started: createQueueHistogram(registry),
   };
