--- a/packages/daemon/src/run_entry.ts
+++ b/packages/daemon/src/run_entry.ts
@@ -70,6 +70,8 @@
     withProcessMetrics: true,
     ...options,
   });
+  // Before anybody can see that it listens: unhandled, the signal would end it.
+  process.on(RELOAD_SIGNAL, () => host.reload(loadSettings(settingsPath)));
   try {
     await host.ready;
   } catch (err) {
@@ -78,7 +80,6 @@
     );
     process.exit(EXIT_CODES.failure);
   }
-  process.on(RELOAD_SIGNAL, () => host.reload(loadSettings(settingsPath)));
   await stopped;
   await stopGracefully(host, runtime, host.readSettings().drainSeconds);
   process.exit(EXIT_CODES.ok);
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -127,6 +127,7 @@
   createBoardGauges({getBoard: engine.getBoard, now: runtime.now}).forEach(
     recorder.metrics.registerGauge,
   );
+  let inForce = settings;
   let isDraining = false;
   let isClosed = false;
   let loop: EventLoop | null = null;
@@ -177,7 +178,7 @@
       runtime,
       address,
       port: listen.caller,
-      users: settings.users,
+      users: inForce.users,
     });
     caller = callers;
     const started = createEventLoop({
@@ -254,7 +255,6 @@
     await waitUntil(runtime, runtime.now() + DRAIN_FLUSH_MS);
   };
 
-  let inForce = settings;
   const reload = (loaded: Result<Settings, SettingsError>): void => {
     if (loaded.err) {
       recorder.record({
