--- a/packages/core/src/__tests__/unit/entry/retries.test.ts
+++ b/packages/core/src/__tests__/unit/entry/retries.test.ts
@@ -1,4 +1,5 @@
 import {beforeEach, describe, expect, it} from 'vitest';
+import {CANCEL_ANSWER_MS, DEADLINE_GRACE_MS} from '../../../entry/constants.js';
 import {OWNERS, startEntryStory} from './entry_story.js';
 import type {EntryStory} from './entry_story.js';
 
@@ -54,6 +55,30 @@
   });
 });
 
+/**
+ * Load pattern: a flood, in which the owner's word that a write was still
+ * queued at its deadline arrives a little after the caller's deadline.
+ */
+describe('a write without an answer at its deadline', () => {
+  const TIMEOUT_MS = 15_000;
+
+  it('is told "not run" where its owner still had it in the queue', () => {
+    const seq = story.send(INSERT);
+    story.advance(TIMEOUT_MS + DEADLINE_GRACE_MS);
+    expect(story.sent('cancel')).toHaveLength(1);
+    expect(story.ended(seq)).toBeUndefined();
+    story.answer({type: 'not_run', reason: 'too_late'});
+    expect(story.ended(seq)).toBe(9101);
+  });
+
+  it('is unknown where its owner says nothing soon', () => {
+    const seq = story.send(INSERT);
+    story.advance(TIMEOUT_MS + DEADLINE_GRACE_MS + CANCEL_ANSWER_MS);
+    expect(story.sent('cancel')).toHaveLength(1);
+    expect(story.ended(seq)).toBe(9102);
+  });
+});
+
 describe('a write that did not run', () => {
   it('waits for the primary, and then runs', () => {
     const seq = story.send(INSERT);
--- a/packages/core/src/__tests__/unit/owner/queue.test.ts
+++ b/packages/core/src/__tests__/unit/owner/queue.test.ts
@@ -4,7 +4,7 @@
 import type {RunMessage} from '../../../model/message.js';
 import {QUEUE_LIMIT_PER_RANK} from '../../../owner/limits.js';
 import type {Story} from './owner_story.js';
-import {startStory} from './owner_story.js';
+import {ASKER, startStory} from './owner_story.js';
 
 /** Serves `count` statements and returns the requests in their order. */
 function serve(story: Story, count: number): readonly string[] {
@@ -207,3 +207,32 @@
     expect(story.ended(id)).toBe('done');
   });
 });
+
+describe('a request that nobody waits for any more', () => {
+  it('is dropped from the queue, and its asker is told that it did not run', () => {
+    const story = startStory();
+    story.run();
+    const queued = story.write();
+    story.message(ASKER, {type: 'cancel', request: queued});
+    expect(story.ended(queued)).toBe('not_run too_late');
+    story.ok();
+    expect(story.runs()).toHaveLength(1);
+  });
+
+  it('is never told as not run once it has run and waits for a replica', () => {
+    const story = startStory();
+    const acking = story.write({ack: 'replica'});
+    story.ok({index: 201});
+    story.message(ASKER, {type: 'cancel', request: acking});
+    expect(story.ended(acking)).toBeUndefined();
+  });
+
+  it('goes on where it runs, so that its end is known', () => {
+    const story = startStory();
+    const running = story.write();
+    story.message(ASKER, {type: 'cancel', request: running});
+    expect(story.ended(running)).toBeUndefined();
+    story.ok({index: 201});
+    expect(story.ended(running)).toBe('done');
+  });
+});
--- a/packages/core/src/entry/answers.ts
+++ b/packages/core/src/entry/answers.ts
@@ -1,10 +1,16 @@
 /** What pool owners answer, and what becomes of requests without an answer. */
 
-import {DEADLINE_GRACE_MS} from './constants.js';
+import {CANCEL_ANSWER_MS, DEADLINE_GRACE_MS} from './constants.js';
 import {readCaller, updateCaller} from './callers.js';
 import {parkRequest, sendRequest, wakeGroup} from './dispatch.js';
 import {endRequest, noteAttemptOver} from './ending.js';
-import {readRequest, removeRequest, setLinked, spendRetry} from './requests.js';
+import {
+  putRequest,
+  readRequest,
+  removeRequest,
+  setLinked,
+  spendRetry,
+} from './requests.js';
 import type {Request} from './state.js';
 import {readGroup} from '../control/facts.js';
 import {noteReport} from '../control/probes.js';
@@ -199,13 +205,49 @@
   );
 };
 
+/** Has the owner of a request's endpoint drop it, or its transaction. */
+function createCancels(request: Request, host: HostId): readonly Action[] {
+  const {id, mode} = request;
+  const cancel: Action = {
+    type: 'send',
+    host,
+    msg: {type: 'cancel', request: id},
+  };
+  return mode === 'begin'
+    ? [cancel, {type: 'send', host, msg: {type: 'close_tx', tx: id}}]
+    : [cancel];
+}
+
+/**
+ * Cancels a write, and waits a little for its owner to confirm that it had not
+ * begun to run: "unknown" costs a caller far more than "not run".
+ */
+function cancelWrite(
+  board: Blackboard,
+  request: Request,
+  host: HostId,
+  ctx: Context,
+): Change {
+  const cancelAnswerBy = ctx.now + CANCEL_ANSWER_MS;
+  return unchanged(
+    putRequest(board, {...request, cancelAnswerBy}),
+    ...createCancels(request, host),
+    {
+      type: 'set_timer',
+      at: cancelAnswerBy,
+      timer: {name: 'request_deadline', request: request.id},
+    },
+  );
+}
+
 /** Ends a request whose time is over. */
 function handleDeadline(
   board: Blackboard,
   request: Request,
   ctx: Context,
 ): Change {
-  if (request.sentTo === null) {
+  const {sentTo, cancelAnswerBy} = request;
+  if (sentTo === null) {
     return endRequest(
       board,
       request,
@@ -213,22 +255,18 @@
       ctx,
     );
   }
-  const {host} = request.sentTo;
-  const stops: Action[] = [
-    {type: 'send', host, msg: {type: 'cancel', request: request.id}},
-  ];
-  if (request.mode === 'begin') {
-    const msg = {type: 'close_tx', tx: request.id} as const;
-    stops.push({type: 'send', host, msg});
+  const isCancelled = cancelAnswerBy !== null;
+  if (isCancelled && ctx.now < cancelAnswerBy) {
+    return unchanged(board);
+  }
+  if (!isCancelled && request.isWrite && request.mode === 'autocommit') {
+    return cancelWrite(board, request, sentTo.host, ctx);
   }
   const over = noteAttemptOver(board, request);
-  const change = endRequest(
-    over,
-    request,
-    {type: 'unknown', reason: 'timed_out'},
-    ctx,
-  );
-  return {board: change.board, actions: [...stops, ...change.actions]};
+  const outcome: Outcome = {type: 'unknown', reason: 'timed_out'};
+  const change = endRequest(over, request, outcome, ctx);
+  const cancels = isCancelled ? [] : createCancels(request, sentTo.host);
+  return {board: change.board, actions: [...cancels, ...change.actions]};
 }
 
 const handleTimer: Handler<'timer'> = (board, event, ctx) => {
@@ -266,12 +304,7 @@
     next = removeRequest(noteAttemptOver(next, request), request.id);
   }
   if (request !== null && request.sentTo !== null) {
-    const msg = {type: 'cancel', request: request.id} as const;
-    actions.push({type: 'send', host: request.sentTo.host, msg});
-  }
-  if (request !== null && request.mode === 'begin' && request.sentTo !== null) {
-    const msg = {type: 'close_tx', tx: request.id} as const;
-    actions.push({type: 'send', host: request.sentTo.host, msg});
+    actions.push(...createCancels(request, request.sentTo.host));
   }
   if (caller.tx !== null) {
     const msg = {type: 'close_tx', tx: caller.tx.id} as const;
--- a/packages/core/src/entry/start_request.ts
+++ b/packages/core/src/entry/start_request.ts
@@ -101,6 +101,7 @@
     receivedAt: current.receivedAt,
     targetAt: current.receivedAt + row.targetMs,
     deadline: current.receivedAt + row.timeoutMs,
+    cancelAnswerBy: null,
     attempt: 0,
     sentTo: null,
     waits: 0,
--- a/packages/core/src/entry/state.ts
+++ b/packages/core/src/entry/state.ts
@@ -113,6 +113,8 @@
   readonly receivedAt: Instant;
   readonly targetAt: Instant;
   readonly deadline: Instant;
+  /** Until when its owner may answer that it was cancelled, or null. */
+  readonly cancelAnswerBy: Instant | null;
   readonly attempt: number;
   /** Where the current attempt was sent; null while it waits. */
   readonly sentTo: SentTo | null;
--- a/packages/core/src/owner/owner_feature.ts
+++ b/packages/core/src/owner/owner_feature.ts
@@ -67,17 +67,26 @@
   const {mode, tx} = job.msg;
   const isEnding = mode === 'commit' || mode === 'rollback';
   const conn = job.conn === null ? undefined : pool.conns.get(job.conn);
-  if (job.phase === 'running') {
-    if (mode !== 'autocommit' && !isEnding && conn !== undefined) {
-      loseConn(turn, endpoint, conn, 'timed_out');
-    }
-  } else {
-    setPool(turn, endpoint, {jobs: dropJob(pool.jobs, request)});
-    record(turn, 'debug', 'job_cancelled', {request, endpoint});
-    if (tx !== null && job.phase === 'queued') {
-      closeTx(turn, endpoint, tx, 'cancelled');
-    }
-  }
+  const cancel: Readonly<Record<Job['phase'], () => void>> = {
+    queued: () => {
+      record(turn, 'debug', 'job_cancelled', {request, endpoint});
+      endJob(turn, endpoint, request, notRun('too_late'));
+      if (tx !== null) {
+        closeTx(turn, endpoint, tx, 'cancelled');
+      }
+    },
+    running: () => {
+      if (mode !== 'autocommit' && !isEnding && conn !== undefined) {
+        loseConn(turn, endpoint, conn, 'timed_out');
+      }
+    },
+    // It has run, and nobody waits for a replica's confirmation any more.
+    acking: () => {
+      setPool(turn, endpoint, {jobs: dropJob(pool.jobs, request)});
+      record(turn, 'debug', 'job_cancelled', {request, endpoint});
+    },
+  };
+  cancel[job.phase]();
   schedule(turn, endpoint);
 }
 
