--- a/packages/core/src/__tests__/unit/route.test.ts
+++ b/packages/core/src/__tests__/unit/route.test.ts
@@ -106,6 +106,7 @@
     receivedAt: NOW,
     targetAt: NOW + 1_000,
     deadline: NOW + 15_000,
+    cancelAnswerBy: null,
     attempt: 0,
     sentTo: null,
     waits: 0,
