--- a/packages/core/src/entry/ending.ts
+++ b/packages/core/src/entry/ending.ts
@@ -64,7 +64,7 @@
       is_write: request.isWrite,
       outcome: outcome.type,
       reason: 'reason' in outcome ? outcome.reason : null,
-      latency_ms: now - request.receivedAt,
+      latency_ms: Math.round(10 * (now - request.receivedAt)) / 10,
       target_ms: request.row.targetMs,
       is_in_time: outcome.type === 'done' && now <= request.targetAt,
       attempts: request.attempt,
--- a/packages/core/src/owner/jobs.ts
+++ b/packages/core/src/owner/jobs.ts
@@ -35,6 +35,8 @@
     conn: conn.id,
     startedAt: turn.now,
   })!;
+  const isChecked = tx !== null || !needsCheck(conn, turn.now);
+  const step = isChecked ? findFirstStep(job) : 'check';
   const {attempt, group, kind, rank} = job.msg;
   record(turn, 'debug', 'job_started', {
     request,
@@ -44,10 +46,10 @@
     kind,
     rank,
     conn: conn.id,
+    step,
     waited_ms: Math.round(turn.now - job.receivedAt),
   });
-  const isChecked = tx !== null || !needsCheck(conn, turn.now);
-  sendStep(turn, endpoint, started, isChecked ? findFirstStep(job) : 'check');
+  sendStep(turn, endpoint, started, step);
 }
 
 /** Ends a job before it sent anything; a refused commit ends its tx. */
--- a/packages/telemetry/src/explain.ts
+++ b/packages/telemetry/src/explain.ts
@@ -77,7 +77,9 @@
   job_queued: fields =>
     `took it into the queue of ${show(fields, 'endpoint')} behind ${show(fields, 'queued')} others, rank ${show(fields, 'rank')}.`,
   job_started: fields =>
-    `began to run it at ${show(fields, 'endpoint')} on connection ${show(fields, 'conn')} after ${show(fields, 'waited_ms')} ms in the queue.`,
+    fields['step'] === 'check'
+      ? `began to check connection ${show(fields, 'conn')} to ${show(fields, 'endpoint')} for it after ${show(fields, 'waited_ms')} ms in the queue.`
+      : `began to run it at ${show(fields, 'endpoint')} on connection ${show(fields, 'conn')} after ${show(fields, 'waited_ms')} ms in the queue.`,
   job_refused: fields =>
     `handed it back without running it: ${show(fields, 'reason')}; ${show(fields, 'queued')} waited and ${show(fields, 'running')} ran at ${show(fields, 'endpoint')}, ` +
     `a statement took about ${show(fields, 'service_ms')} ms, term ${show(fields, 'group_term')}, ${showView(fields)}.`,
@@ -86,7 +88,7 @@
   job_cancelled: fields =>
     `gave it up at ${show(fields, 'endpoint')}, since nobody waits for it any more.`,
   conn_lost: fields =>
-    `lost connection ${show(fields, 'conn')} to ${show(fields, 'endpoint')} while it ran there: ${show(fields, 'reason')}.`,
+    `lost connection ${show(fields, 'conn')} to ${show(fields, 'endpoint')}, which it used: ${show(fields, 'reason')}.`,
   tx_broken: fields =>
     `ended its transaction ${show(fields, 'tx')}, which can no longer commit.`,
   statement_refused: fields =>
