Bound log lines by the monotonic clock, and keep explanations complete by type

A wall clock that is set back would have kept every kind of event over its limit until the clock caught up. The remedies of explain are typed by the reasons that the core can give, so that a new reason needs one.

--- a/packages/core/src/entry/constants.ts
+++ b/packages/core/src/entry/constants.ts
@@ -3,7 +3,10 @@
 /** Time by which a pool owner may overrun a deadline before it is given up. */
 export const DEADLINE_GRACE_MS = 250;
 
-/** Time for an owner to confirm that it dropped a write before it ran, in ms. */
+/**
+ * Time for an owner to confirm that it dropped a write before it ran, in ms:
+ * twice what a busy host was seen to be late.
+ */
 export const CANCEL_ANSWER_MS = 500;
 
 /** First wait before a request that was handed back is sent again. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './model/host.js';
 export * from './model/table.js';
 export * from './model/outcome.js';
+export type {RouteReason} from './entry/route.js';
 export * from './model/statement.js';
 export * from './model/message.js';
 export * from './engine/action.js';
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -112,6 +112,7 @@
   const recorder = createRecorder({
     host,
     hlc,
+    now: runtime.now,
     level: settings.log.level,
     linesPerSecond: settings.log.linesPerSecond,
     destination: options.destination ?? createStdoutDestination(runtime),
--- a/packages/telemetry/src/__tests__/integration/log_flood.js
+++ b/packages/telemetry/src/__tests__/integration/log_flood.js
@@ -13,6 +13,7 @@
 const recorder = createRecorder({
   host: 'a-1',
   hlc: createHlc(runtime),
+  now: runtime.now,
   level: 'info',
   linesPerSecond: 0,
   destination: createStdoutDestination(runtime),
--- a/packages/telemetry/src/__tests__/unit/recorder.test.ts
+++ b/packages/telemetry/src/__tests__/unit/recorder.test.ts
@@ -8,12 +8,17 @@
 } from '@lacewingroad/telemetry';
 import type {EventLevel, TimelineEvent} from '@lacewingroad/telemetry';
 
+/** The monotonic clock of the recorders. */
+const clock = {now: 0};
+
 /** Creates a recorder that keeps its lines. */
 function createKeeping(ringCapacity = 10, linesPerSecond = 0) {
   const lines: string[] = [];
+  const runtime = createVirtualRuntime(1);
   const recorder = createRecorder({
     host: 'a-1',
-    hlc: createHlc(createVirtualRuntime(1)),
+    hlc: createHlc(runtime),
+    now: () => clock.now,
     level: 'info',
     destination: {
       write: line => {
@@ -179,6 +184,19 @@
     );
   });
 
+  it('is bounded anew each second, whatever the wall clock does', () => {
+    const {recorder, lines} = createKeeping(1_000, 1);
+    recordStep(recorder, 'info', 'request_refused', 'r1');
+    recordStep(recorder, 'info', 'request_refused', 'r2');
+    clock.now += 1_000;
+    recordStep(recorder, 'info', 'request_refused', 'r3');
+    expect(lines.map(line => parseEventLine(line.trim())?.event)).toEqual([
+      'request_refused',
+      'lines_suppressed',
+      'request_refused',
+    ]);
+  });
+
   it('does not count what a suppressed failure leaves behind twice', () => {
     const {recorder, lines} = createKeeping(1_000, 1);
     recordStep(recorder, 'info', 'request_refused', 'r1');
--- a/packages/telemetry/src/explain.ts
+++ b/packages/telemetry/src/explain.ts
@@ -1,6 +1,11 @@
 /** Tells the story of one request in sentences, from the events of all hosts. */
 
-import type {FieldValue} from '@lacewingroad/core';
+import type {
+  FieldValue,
+  NotRunReason,
+  RouteReason,
+  UnknownReason,
+} from '@lacewingroad/core';
 import type {TimelineEvent} from './event_line.js';
 import {mergeTimeline} from './timeline.js';
 
@@ -34,7 +39,7 @@
     : `by revision ${show(fields, 'view_revision')} of the platform, ${show(fields, 'view_age_ms')} ms old`;
 }
 
-const ROUTE_REASONS: Readonly<Record<string, string>> = {
+const ROUTE_REASONS: Readonly<Record<RouteReason, string>> = {
   replica: 'a replica may serve it',
   write: 'writes run at the primary',
   transaction: 'transactions run at the primary',
@@ -45,6 +50,14 @@
   replicas_not_used: 'replicas are switched off',
 };
 
+/** Looks up what a log line says, which may be of another version. */
+function find(
+  table: Readonly<Record<string, string>>,
+  key: string,
+): string | null {
+  return Object.hasOwn(table, key) ? table[key]! : null;
+}
+
 type Tell = (fields: Fields) => string;
 
 function tellRoute(fields: Fields): string {
@@ -59,7 +72,7 @@
       : `its last report was ${show(fields, 'report_age_ms')} ms old and its data ${show(fields, 'data_age_ms')} ms`;
   return (
     `sent it to ${show(fields, 'endpoint')} (${show(fields, 'endpoint_role')}) through ${show(fields, 'owner')}, attempt ${show(fields, 'attempt')}, ` +
-    `because ${ROUTE_REASONS[reason] ?? reason}; ${report}; decided ${showView(fields)}.${position}`
+    `because ${find(ROUTE_REASONS, reason) ?? reason}; ${report}; decided ${showView(fields)}.${position}`
   );
 }
 
@@ -105,7 +118,7 @@
 };
 
 /** What would have changed the outcome, by the reason of a failed request. */
-const REMEDIES: Readonly<Record<string, string>> = {
+const REMEDIES: Readonly<Record<NotRunReason | UnknownReason, string>> = {
   not_owner:
     'The pool was changing hands; the same request succeeds once the new owner is known.',
   not_primary:
@@ -181,9 +194,9 @@
     ...own.map(({host}) => host),
     ...collect(own, ['owner']),
   ]);
-  const isRelated = ({host, fields}: TimelineEvent): boolean => {
+  const isRelated = ({host, level, fields}: TimelineEvent): boolean => {
     const {group, endpoint, request} = fields;
-    if (request != null) {
+    if (request != null || level === 'debug') {
       return false;
     }
     if (endpoint != null) {
@@ -207,15 +220,15 @@
 /** Returns what would have changed the outcome; empty where it was done. */
 function findRemedy(own: readonly TimelineEvent[]): string {
   if (own.some(({event}) => event === 'session_write_lost')) {
-    return REMEDIES['replaced_primary']!;
+    return REMEDIES.replaced_primary;
   }
   if (own.some(({event}) => event === 'request_done')) {
     return '';
   }
-  const reasons = own
-    .map(({fields}) => String(fields['reason']))
-    .filter(reason => Object.hasOwn(REMEDIES, reason));
-  return REMEDIES[reasons.at(-1) ?? ''] ?? '';
+  const remedies = own
+    .map(({fields}) => find(REMEDIES, String(fields['reason'])))
+    .filter(remedy => remedy !== null);
+  return remedies.at(-1) ?? '';
 }
 
 /** Explains a request; null where no event tells of it. */
--- a/packages/telemetry/src/hlc.ts
+++ b/packages/telemetry/src/hlc.ts
@@ -24,8 +24,6 @@
 export interface Hlc {
   /** Returns a stamp later than all before it. */
   readonly tick: () => string;
-  /** Returns the wall clock in milliseconds, for bounding rates only. */
-  readonly wallMs: () => number;
   /** Takes note of another host's stamp; ignores one that is not valid. */
   readonly receive: (stamp: string) => void;
 }
@@ -75,7 +73,6 @@
       last = wallMs > last.wallMs ? {wallMs, counter: 0} : followingStamp(last);
       return formatStamp(last);
     },
-    wallMs: () => runtime.wallNow(),
     receive: stamp => {
       const parts = parseStamp(stamp);
       if (parts === null) {
--- a/packages/telemetry/src/line_limit.ts
+++ b/packages/telemetry/src/line_limit.ts
@@ -3,6 +3,7 @@
  * Failures have kinds of their own, so that no flood of others hides them.
  */
 
+import type {Instant} from '@lacewingroad/runtime';
 import type {EventLevel} from './event_line.js';
 
 /** Time for which lines are counted together, in milliseconds. */
@@ -18,9 +19,9 @@
 /** Decides which lines are written. */
 export interface LineLimit {
   /** Counts a line and tells whether it is written. */
-  readonly take: (level: EventLevel, event: string, nowMs: number) => boolean;
+  readonly take: (level: EventLevel, event: string, now: Instant) => boolean;
   /** Returns what was left out in windows that are over, and forgets it. */
-  readonly takeSuppressed: (nowMs: number) => readonly SuppressedLines[];
+  readonly takeSuppressed: (now: Instant) => readonly SuppressedLines[];
 }
 
 interface Count {
@@ -33,14 +34,14 @@
 /** Creates a limit of lines a second for each kind and level; 0 is none. */
 export function createLineLimit(linesPerSecond: number): LineLimit {
   const counts = new Map<string, Count>();
-  let windowEndMs = 0;
+  let windowEnd = 0;
   return {
-    take: (level, event, nowMs) => {
+    take: (level, event, now) => {
       if (linesPerSecond === 0) {
         return true;
       }
       if (counts.size === 0) {
-        windowEndMs = nowMs + WINDOW_MS;
+        windowEnd = now + WINDOW_MS;
       }
       const key = `${level} ${event}`;
       const count = counts.get(key) ?? {level, event, taken: 0, suppressed: 0};
@@ -52,8 +53,8 @@
       count.taken++;
       return true;
     },
-    takeSuppressed: nowMs => {
-      if (counts.size === 0 || nowMs < windowEndMs) {
+    takeSuppressed: now => {
+      if (counts.size === 0 || now < windowEnd) {
         return [];
       }
       const left = [...counts.values()]
--- a/packages/telemetry/src/recorder.ts
+++ b/packages/telemetry/src/recorder.ts
@@ -1,6 +1,7 @@
 /** Records events: stamps, logs, counts and keeps them. */
 
 import {pino} from 'pino';
+import type {Instant} from '@lacewingroad/runtime';
 import type {ActionOf, FieldValue} from '@lacewingroad/core';
 import {formatEventLine} from './event_line.js';
 import type {EventLevel, TimelineEvent} from './event_line.js';
@@ -36,6 +37,8 @@
 export interface RecorderConfig extends LogSettings {
   readonly host: string;
   readonly hlc: Hlc;
+  /** The monotonic clock, by which lines are bounded. */
+  readonly now: () => Instant;
   readonly destination: LogDestination;
   readonly ringCapacity?: number;
   /** Whether to add the metrics of the process itself. */
@@ -112,18 +115,18 @@
   };
 
   /** Tells how many lines were left out, once their second is over. */
-  const writeSuppressed = (nowMs: number): void => {
-    for (const {level, event, count} of limit.takeSuppressed(nowMs)) {
+  const writeSuppressed = (now: Instant): void => {
+    for (const {level, event, count} of limit.takeSuppressed(now)) {
       const fields = {suppressed: event, lines: count};
       write(create(level, 'lines_suppressed', fields));
     }
   };
 
-  const log = (event: TimelineEvent, nowMs: number): void => {
+  const log = (event: TimelineEvent, now: Instant): void => {
     const request = readRequest(event.fields);
     const trail = request === null ? [] : trails.take(request);
-    writeSuppressed(nowMs);
-    if (!limit.take(event.level, event.event, nowMs)) {
+    writeSuppressed(now);
+    if (!limit.take(event.level, event.event, now)) {
       metrics.countSuppressedLines(1 + trail.length);
       return;
     }
@@ -152,7 +155,7 @@
         keepQuietly(created);
         return;
       }
-      log(created, cfg.hlc.wallMs());
+      log(created, cfg.now());
     },
     readEvents: ring.readAfter,
     metrics,
