Begin no work that will be cut off at its deadline, and let a write that runs end

Load pattern: a flood while a host stops. The pool that takes over begins what has waited for 1.9 of its 2 s and cuts it 10 to 20 ms later at its deadline: the caller is told 9102 for what could have been 9101, or done.

Ruled out: the transit between hosts (owner and asker were the same process), the endpoint (it answered others in between).

Change: queued work that cannot end by its deadline with twice the service time is refused as not run; what has not waited is begun in any case, so that the estimate is corrected. A write that runs may overrun its deadline by 375 ms, half of what its asker waits. Tests replay both.

--- a/packages/core/src/__tests__/unit/owner/queue.test.ts
+++ b/packages/core/src/__tests__/unit/owner/queue.test.ts
@@ -2,7 +2,7 @@
 
 import {describe, expect, it} from 'vitest';
 import type {RunMessage} from '../../../model/message.js';
-import {QUEUE_LIMIT_PER_RANK} from '../../../owner/limits.js';
+import {QUEUE_LIMIT_PER_RANK, WRITE_OVERRUN_MS} from '../../../owner/limits.js';
 import type {Story} from './owner_story.js';
 import {ASKER, startStory} from './owner_story.js';
 
@@ -236,3 +236,67 @@
     expect(story.ended(running)).toBe('done');
   });
 });
+
+/**
+ * Load pattern: a flood at an endpoint that takes far longer than usual. What
+ * has waited until just before its deadline would be cut off while it runs.
+ */
+describe('a request that waited until too little of its time is left', () => {
+  const SLOW_MS = 200;
+
+  /** Has the pool learn that a statement takes long. */
+  function learnSlowness(story: Story): void {
+    for (let count = 0; count < 50; count++) {
+      story.run();
+      story.advance(SLOW_MS);
+      story.ok();
+    }
+    story.refresh();
+  }
+
+  it.each(['a write', 'a read'])('is not begun: %s', kind => {
+    const story = startStory();
+    learnSlowness(story);
+    const first = story.run();
+    const timeoutLeftMs = 3 * SLOW_MS;
+    const late = story.run({
+      isWrite: kind === 'a write',
+      term: 3,
+      timeoutLeftMs,
+    });
+    const runs = story.runs().length;
+    story.advance(timeoutLeftMs - SLOW_MS / 2);
+    story.ok();
+    expect(story.ended(first)).toBe('done');
+    expect(story.ended(late)).toBe('not_run too_late');
+    expect(story.runs()).toHaveLength(runs);
+  });
+
+  it('runs where it need not wait, so that the pool learns of a faster endpoint', () => {
+    const story = startStory();
+    learnSlowness(story);
+    const quick = story.write({timeoutLeftMs: SLOW_MS / 2});
+    story.ok({index: 201});
+    expect(story.ended(quick)).toBe('done');
+  });
+});
+
+describe('a write that runs past its deadline', () => {
+  const timeoutLeftMs = 100;
+
+  it('is waited for a little, since its end is worth more than "unknown"', () => {
+    const story = startStory();
+    const write = story.write({timeoutLeftMs});
+    story.advance(timeoutLeftMs + WRITE_OVERRUN_MS - 1);
+    expect(story.ended(write)).toBeUndefined();
+    story.ok({index: 201});
+    expect(story.ended(write)).toBe('done');
+  });
+
+  it('is given up after that', () => {
+    const story = startStory();
+    const write = story.write({timeoutLeftMs});
+    story.advance(timeoutLeftMs + WRITE_OVERRUN_MS);
+    expect(story.ended(write)).toBe('unknown timed_out');
+  });
+});
--- a/packages/core/src/owner/limits.ts
+++ b/packages/core/src/owner/limits.ts
@@ -15,6 +15,11 @@
 export const BACKOFF_MAX_MS = 1_000;
 /** Silence of a statement after which a living endpoint closes its link. */
 export const SILENT_CONN_MS = 5_000;
+/**
+ * Time by which a write that runs may overrun its deadline: half of what the
+ * asking host waits beyond it (DEADLINE_GRACE_MS and CANCEL_ANSWER_MS).
+ */
+export const WRITE_OVERRUN_MS = 375;
 /** Time between two probes asked for on behalf of a silent statement. */
 export const SILENT_PROBE_INTERVAL_MS = 250;
 /**
--- a/packages/core/src/owner/owner_feature.ts
+++ b/packages/core/src/owner/owner_feature.ts
@@ -4,13 +4,20 @@
 import type {PeerMessageEvent, TimerKey} from '../engine/event.js';
 import {unchanged} from '../engine/engine.js';
 import type {Change, Context, Feature, Handler} from '../engine/engine.js';
-import type {EndpointId, HostId, RequestId, TxId} from '../model/ids.js';
+import type {
+  EndpointId,
+  HostId,
+  Instant,
+  RequestId,
+  TxId,
+} from '../model/ids.js';
 import type {PeerMessage} from '../model/message.js';
 import {expireAck, handleAwaitPosition, handlePosition} from './acks.js';
 import {admit} from './admission.js';
 import {endJob} from './answers.js';
 import {dropJob, findJob} from './job_set.js';
 import {handleAnswer} from './jobs.js';
+import {WRITE_OVERRUN_MS} from './limits.js';
 import {closeTx, loseConn} from './losses.js';
 import {
   handleClosed,
@@ -146,6 +153,16 @@
 
 type JobTimer = Extract<TimerKey, {name: 'job_deadline' | 'ack_wait'}>;
 
+/**
+ * Returns when a running job is given up. A write gets a little more than its
+ * time: its outcome would be unknown, and its asker still waits for a moment.
+ */
+function readLatestEnd(job: Job): Instant {
+  const {isWrite, mode} = job.msg;
+  const isSentWrite = isWrite && mode === 'autocommit' && job.step !== 'check';
+  return isSentWrite ? job.deadline + WRITE_OVERRUN_MS : job.deadline;
+}
+
 /** Ends a job whose time is over, whatever it waits for. */
 function handleJobTimer(turn: Turn, timer: JobTimer): void {
   const {endpoint, request} = timer;
@@ -159,6 +176,11 @@
       endJob(turn, endpoint, request, notRun('too_late'));
     },
     running: () => {
+      const latest = readLatestEnd(job);
+      if (turn.now < latest) {
+        turn.act({type: 'set_timer', at: latest, timer});
+        return;
+      }
       suspectFreeConns(turn, endpoint);
       loseConn(turn, endpoint, pool.conns.get(job.conn!)!, 'timed_out');
     },
--- a/packages/core/src/owner/queue_policy.ts
+++ b/packages/core/src/owner/queue_policy.ts
@@ -179,6 +179,20 @@
   return isInTime(job.targetAt, now, serviceMs);
 }
 
+/**
+ * Tells whether a job has waited until it can no longer be answered by its
+ * deadline: begun now, it would be cut off and its outcome unknown, and it is
+ * known not to have run. What has not waited is begun in any case, since only
+ * work that runs corrects an estimate which slow statements have raised.
+ */
+export function isTooLateToBegin(
+  job: Job,
+  now: Instant,
+  serviceMs: number,
+): boolean {
+  return now > job.receivedAt && !isInTime(job.deadline, now, serviceMs);
+}
+
 /**
  * Keeps the jobs that can still meet their targets, if there are any: in an
  * overload a slot given to a late job makes the next one late as well.
--- a/packages/core/src/owner/scheduler.ts
+++ b/packages/core/src/owner/scheduler.ts
@@ -18,7 +18,7 @@
 import {closeTx, loseConn, readAnswerBy} from './losses.js';
 import {FAST_PROBE_MS, IDLE_CLOSE_MS} from './limits.js';
 import {countBusySlots, readNextProbeAt} from './overdue.js';
-import {QUEUE_POLICIES} from './queue_policy.js';
+import {QUEUE_POLICIES, isTooLateToBegin} from './queue_policy.js';
 import {notRun} from './steps.js';
 import {getEndpoint, getPool, setJob, setPool} from './turn.js';
 import type {Turn} from './turn.js';
@@ -215,6 +215,10 @@
     endJob(turn, endpoint, job.msg.request, notRun('not_reached'));
     return;
   }
+  if (job.msg.tx === null && isTooLateToBegin(job, turn.now, pool.serviceMs)) {
+    endJob(turn, endpoint, job.msg.request, notRun('too_late'));
+    return;
+  }
   const pinned: ConnId | undefined =
     job.msg.tx === null ? undefined : pool.txs.get(job.msg.tx)?.conn;
   const conn = pinned === undefined ? free! : pool.conns.get(pinned)!;
