--- a/packages/daemon/src/__tests__/integration/planned_stops.test.ts
+++ b/packages/daemon/src/__tests__/integration/planned_stops.test.ts
@@ -125,6 +125,13 @@
       story.site.processes.signal(neighbour, 'SIGTERM'),
     tells: [CUT_OFF],
   },
+  {
+    name: 'a flood of the lowest and of the most urgent rank',
+    isLong: true,
+    kinds: ['bulk', 'flood'],
+    callersPerHost: 20,
+    tells: [NOT_RUN],
+  },
   {
     name: 'transactions that stay open for 8 s',
     isLong: true,
@@ -175,12 +182,6 @@
       await story.rule();
     },
   },
-  {
-    name: 'a flood of the lowest and of the most urgent rank',
-    kinds: ['bulk', 'flood'],
-    callersPerHost: 20,
-    tells: [NOT_RUN],
-  },
 ];
 
 /** Counts rows in what the primary holds. */
--- a/packages/daemon/src/reload.ts
+++ b/packages/daemon/src/reload.ts
@@ -19,22 +19,25 @@
   drainSeconds: true,
 };
 
-/** Entries that differ, by whether they take effect at once. */
-export interface SettingsChange {
+/** What a running host does with settings that were read again. */
+export interface Reload {
+  /** The settings in force from now on. */
+  readonly settings: Settings;
+  /** Entries that changed. */
   readonly applied: readonly Key[];
+  /** Entries that differ in the file and take effect at a restart only. */
   readonly needRestart: readonly Key[];
 }
 
 /** Compares the settings in force with those of a file read again. */
-export function compareSettings(
-  inForce: Settings,
-  next: Settings,
-): SettingsChange {
+export function planReload(inForce: Settings, next: Settings): Reload {
   const keys = Object.keys(CHANGES_IN_PLACE) as readonly Key[];
   const changed = keys.filter(
     key => !isDeepStrictEqual(inForce[key], next[key]),
   );
+  const {users, log, drainSeconds} = next;
   return {
+    settings: {...inForce, users, log, drainSeconds},
     applied: changed.filter(key => CHANGES_IN_PLACE[key]),
     needRestart: changed.filter(key => !CHANGES_IN_PLACE[key]),
   };
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -23,7 +23,7 @@
 import {createOperatorAdapter} from './operator_http.js';
 import {DEFAULT_PARTS} from './parts.js';
 import type {CallerPort, EntryParts} from './parts.js';
-import {compareSettings} from './reload.js';
+import {planReload} from './reload.js';
 import {createBoardGauges} from './board_gauges.js';
 import {createTimers} from './timers.js';
 
@@ -51,7 +51,7 @@
    * change; the log names both. Settings with faults change nothing.
    */
   readonly reload: (loaded: Result<Settings, SettingsError>) => void;
-  /** Returns the settings that were loaded last. */
+  /** Returns the settings in force. */
   readonly readSettings: () => Settings;
   /** Ends everything at once; resolves once all sockets are closed. */
   readonly close: () => Promise<void>;
@@ -266,11 +266,10 @@
       });
       return;
     }
-    const next = loaded.val;
-    const {applied, needRestart} = compareSettings(inForce, next);
-    recorder.configure(next.log);
-    caller?.setUsers(next.users);
-    inForce = next;
+    const {settings, applied, needRestart} = planReload(inForce, loaded.val);
+    recorder.configure(settings.log);
+    caller?.setUsers(settings.users);
+    inForce = settings;
     recordOwn('settings_reloaded', {
       applied: applied.join(),
       need_restart: needRestart.join(),
--- a/packages/mysql/src/__tests__/unit/caller_login.test.ts
+++ b/packages/mysql/src/__tests__/unit/caller_login.test.ts
@@ -29,6 +29,14 @@
     ]);
   });
 
+  test('users that are replaced log in no more; those logged in go on', async () => {
+    await start(() => ok());
+    const connection = await login('orders');
+    getCore().adapter.setUsers([]);
+    await connection.query('SELECT 1');
+    await expect(login('orders')).rejects.toMatchObject({errno: 1045});
+  });
+
   test('a change of user ends the caller and opens another', async () => {
     await start(() => ok());
     const connection = await login('orders');
