Probe endpoints every 100 ms while nobody leads, not at every tick

Cause: the fast interval was taken off twice. ask() set the next probe by the fast interval, and tickOne() subtracted the difference of both intervals again, so that probes went out at each tick of 20 ms; each takes a slot and is priced. Ruled out: probes of a pool that was not closed (the test closes it). Conclusion: the interval is chosen in one place, from what is known when a probe is due; a test counts the probes.

--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -307,6 +307,21 @@
     expect(group.promotions).toEqual([]);
   });
 
+  it('probes an endpoint ten times a second while nobody leads, not more', async () => {
+    pool.close();
+    group.get('ledger-1').isDark = true;
+    group.get('ledger-3').isDark = true;
+    pool = openPool();
+    await passTime(1_000);
+    const before = group.commands.length;
+    await passTime(5_000);
+    const probes = group.commands
+      .slice(before)
+      .filter(({type}) => type === 'status');
+    expect(probes.length).toBeGreaterThan(40);
+    expect(probes.length).toBeLessThanOrEqual(51);
+  });
+
   it('replaces a primary that is leaving once its transactions ended', async () => {
     const begun = send({tx: firstOf('t1'), statement: WRITE});
     await passTime(40);
--- a/packages/pooler/src/owner/status.ts
+++ b/packages/pooler/src/owner/status.ts
@@ -24,7 +24,8 @@
   readonly isReady: boolean;
   /** When the unanswered probe, or the opening, began; null for none. */
   readonly askedAt: Instant | null;
-  readonly nextAt: Instant;
+  /** When the last probe was sent, or the last attempt to open one given up. */
+  readonly lastAt: Instant;
 }
 
 /** Reads a status out of the one row of its answer; null when malformed. */
@@ -142,7 +143,7 @@
       link: null,
       isReady: false,
       askedAt: null,
-      nextAt: pool.now() + REOPEN_MS,
+      lastAt: pool.now(),
     });
     noteDown(pool, id, detail);
   };
@@ -152,22 +153,20 @@
     const link = pool.cfg.ports.openConn(state.entry, {
       onReady: () => {
         noteAlive(pool, id);
-        probers.update(id, {isReady: true, askedAt: null, nextAt: 0});
+        probers.update(id, {isReady: true, askedAt: null, lastAt: -Infinity});
         tick();
       },
       onRefused: fault => giveUp(id, fault),
       onClosed: detail => giveUp(id, detail),
     });
     const now = pool.now();
-    probers.put(id, {link, isReady: false, askedAt: now, nextAt: Infinity});
+    probers.put(id, {link, isReady: false, askedAt: now, lastAt: now});
   };
 
   const ask = (id: EndpointId, prober: Prober): void => {
     const askedAt = pool.now();
-    const {primary, promotion} = pool.read();
-    const isFast = primary === null || promotion !== null;
-    const intervalMs = isFast ? FAST_STATUS_INTERVAL_MS : STATUS_INTERVAL_MS;
-    probers.update(id, {askedAt, nextAt: askedAt + intervalMs});
+    const {primary} = pool.read();
+    probers.update(id, {askedAt, lastAt: askedAt});
     const known = pool.endpoints.get(id)?.status ?? null;
     const isReplaced =
       known?.role === 'primary' &&
@@ -195,7 +194,7 @@
     const now = pool.now();
     const prober = probers.get(id);
     if (prober === undefined || prober.link === null) {
-      if (now >= (prober?.nextAt ?? 0)) {
+      if (prober === undefined || now >= prober.lastAt + REOPEN_MS) {
         open(state);
       }
       return;
@@ -206,12 +205,12 @@
       }
       return;
     }
+    // The interval is chosen here alone, from what is known now: a change of
+    // primary that begins between two probes hastens the next one.
     const {primary, promotion} = pool.read();
     const isUrgent = primary === null || promotion !== null;
-    const dueAt = isUrgent
-      ? prober.nextAt - STATUS_INTERVAL_MS + FAST_STATUS_INTERVAL_MS
-      : prober.nextAt;
-    if (prober.isReady && now >= dueAt) {
+    const intervalMs = isUrgent ? FAST_STATUS_INTERVAL_MS : STATUS_INTERVAL_MS;
+    if (prober.isReady && now >= prober.lastAt + intervalMs) {
       ask(id, prober);
     }
   };
