Keep a connection whose begin was refused; rank hosts only when a takeover is due

The begin of a reading transaction at a replica that lacks its position was answered 'lagging', state idle, and the connection was dropped like one whose values are in doubt; a new one costs 12 ms of a slot. Read in the code beside it: each host ranked all hosts by hash for each group it does not own, every 100 ms, and hashed all far hosts every 500 ms for its links: processor time per host that grows with the fleet. Ruled out: a doubt about the connection's values; begin is the last step and the answer's state is idle. Before: the new test sees conn_lost; after: the connection serves on. Ranks are worked out once a takeover is due, witnesses when the list of hosts changes. Conclusion: fewer connections; work per host at rest no longer grows with hosts.

--- a/packages/pooler/src/__tests__/unit/decisions.test.ts
+++ b/packages/pooler/src/__tests__/unit/decisions.test.ts
@@ -15,7 +15,11 @@
   RECORD_WAIT_MS,
 } from '../../decisions/lease.js';
 import type {HeldLease} from '../../decisions/lease.js';
-import {chooseLinks} from '../../decisions/links.js';
+import {
+  chooseLinks,
+  chooseWitnesses,
+  listFarHosts,
+} from '../../decisions/links.js';
 import {assignGroups, chooseDeputies} from '../../decisions/owner_choice.js';
 import {chooseForRead, isExpectedToHave} from '../../decisions/placement.js';
 import type {EndpointView} from '../../decisions/placement.js';
@@ -352,10 +356,13 @@
       deputies: [many[1]!, many[2]!],
       renewals: 0,
     };
-    const links = chooseLinks(many[0]!, many, [ownership]);
+    const [first] = many;
+    const witnesses = chooseWitnesses(first!, listFarHosts(first!, many));
+    expect(witnesses.every(id => !id.startsWith('a'))).toBe(true);
+    const links = chooseLinks(first!, witnesses, [ownership]);
     expect(links).toContain(many[5]!.host);
     expect(links.length).toBeLessThan(8);
-    expect(chooseLinks(many[5]!, many, [ownership])).toEqual(
+    expect(chooseLinks(many[5]!, [], [ownership])).toEqual(
       expect.arrayContaining([many[1]!.host, many[2]!.host]),
     );
   });
--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -18,6 +18,7 @@
 let pool: GroupPool;
 let results: Map<string, RunResult>;
 let isLeaseValid: boolean;
+let events: string[];
 let next: number;
 
 /** Lets virtual time and the microtasks of each step pass. */
@@ -39,7 +40,7 @@
       dataCentre: 'dc-1',
       ports: {
         runtime,
-        record: () => undefined,
+        record: (_level, event) => events.push(event),
         openConn: group.openConn,
         promote: group.promote,
         send: (_host, msg) => {
@@ -109,6 +110,7 @@
   group = createFakeGroup(runtime, GROUP);
   results = new Map();
   isLeaseValid = true;
+  events = [];
   next = 1;
   pool = openPool();
   await passTime(300);
@@ -191,6 +193,26 @@
     expect(ranAt(read)).toEqual(['ledger-1']);
   });
 
+  it('keeps a connection whose replica lacked a position at the begin', async () => {
+    for (const id of ['ledger-2', 'ledger-3']) {
+      group.get(id).lagMs = 60_000;
+    }
+    const write = send({statement: WRITE});
+    await passTime(100);
+    const result = results.get(write);
+    const reading = send({
+      tx: firstOf('t1', true),
+      consistency: 'session',
+      maxStalenessMs: 2_500,
+      position: result?.type === 'done' ? result.position : null,
+    });
+    await passTime(100);
+    expect(results.get(reading)?.type).toBe('done');
+    const begins = group.commands.filter(({type}) => type === 'begin');
+    expect(begins.length).toBeGreaterThan(1);
+    expect(events).not.toContain('conn_lost');
+  });
+
   it('sends no more statements at once than slots and one', async () => {
     for (let count = 0; count < 40; count++) {
       send({consistency: 'bounded', maxStalenessMs: 1_500});
--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -3,7 +3,7 @@
 import type {GroupId, HostId} from '@lacewingroad/core';
 import {waitUntil} from '@lacewingroad/runtime';
 import type {Instant, Unregister} from '@lacewingroad/runtime';
-import {chooseLinks} from './decisions/links.js';
+import {chooseLinks, chooseWitnesses, listFarHosts} from './decisions/links.js';
 import {reachesTooFew} from './decisions/reach.js';
 import {createEntry} from './entry/entry.js';
 import type {Entry} from './entry/entry.js';
@@ -52,11 +52,6 @@
   readonly resolveAddress: (host: HostId) => string | null;
   /** Tells whether this host should take new callers. */
   readonly isReady: () => boolean;
-  /**
-   * Tells whether no host of another data centre can be reached, or none at all
-   * where there is one data centre.
-   */
-  readonly isCutOff: () => boolean;
   readonly readOwned: () => readonly GroupId[];
   /** Tells whether this host may act as a group's owner now. */
   readonly isActing: (group: GroupId) => boolean;
@@ -87,6 +82,9 @@
   let table: RouteTable | null = null;
   let endpoints: EndpointList | null = null;
   let hosts: readonly HostEntry[] = [self];
+  /** Hosts of other data centres, or all others where there is one. */
+  let far: readonly HostEntry[] = [];
+  let witnesses: readonly HostId[] = [];
   let isListComplete = false;
   let isDraining = false;
   let wasCutOff = false;
@@ -104,16 +102,13 @@
   const isLinked = (host: HostId): boolean =>
     host === self.host || linked.has(host);
 
-  const isOther = ({host}: HostEntry): boolean => host !== self.host;
-
-  const isFar = ({host, dataCentre}: HostEntry): boolean =>
-    host !== self.host && dataCentre !== self.dataCentre;
-
+  /**
+   * Tells whether no host of another data centre can be reached, or none at all
+   * where there is one data centre.
+   */
   const isCutOff = (): boolean => {
-    const far = hosts.filter(isFar);
-    const others = far.length > 0 ? far : hosts.filter(isOther);
-    const isLinked = others.some(({host}) => linked.has(host));
-    if (isLinked || others.length === 0) {
+    const isFarLinked = far.some(({host}) => linked.has(host));
+    if (isFarLinked || far.length === 0) {
       lastLinkedAt = runtime.now();
       return false;
     }
@@ -281,7 +276,7 @@
 
   let unregisterLinks: Unregister = () => undefined;
   const keepLinks = (): void => {
-    const links = chooseLinks(self, hosts, ownership.listOwnerships());
+    const links = chooseLinks(self, witnesses, ownership.listOwnerships());
     links.forEach(host => send(host, {type: 'hello', isDraining}));
     closeWhileCutOff();
     unregisterLinks = runtime.at(runtime.now() + LINK_INTERVAL_MS, keepLinks);
@@ -339,6 +334,8 @@
     },
     noteHosts: entries => {
       hosts = [self, ...entries.filter(({host}) => host !== self.host)];
+      far = listFarHosts(self, hosts);
+      witnesses = chooseWitnesses(self, far);
       entries.forEach(({host, address}) => addresses.set(host, address));
     },
     noteOwnerships: (stored, isComplete) => {
@@ -350,7 +347,6 @@
     },
     resolveAddress: host => addresses.get(host) ?? null,
     isReady: () => owners.size > 0 && !isDraining && isServing(),
-    isCutOff,
     readOwned: ownership.readOwned,
     isActing: ownership.isValid,
     handOver: async () => {
--- a/packages/pooler/src/owner/jobs.ts
+++ b/packages/pooler/src/owner/jobs.ts
@@ -291,7 +291,7 @@
       left--;
       if (reply.type === 'error' && !hasFailed) {
         hasFailed = true;
-        handlePrepareFault(pool, request, conn.id, reply);
+        handlePrepareFault(pool, request, conn.id, command, reply);
       }
       if (left === 0 && !hasFailed) {
         openTx(pool, request, conn.id);
@@ -345,6 +345,7 @@
   pool: Pool,
   request: string,
   connId: number,
+  command: EndpointCommand,
   reply: ErrorReply,
 ): void {
   const job = pool.jobs.get(request);
@@ -360,6 +361,12 @@
   } else {
     endJob(pool, job, refused('tx_gone'));
   }
+  if (command.type === 'begin' && reply.state === 'idle') {
+    // The last of the steps: all others took effect, and nothing is open.
+    pool.conns.update(connId, {tx: null});
+    releaseConn(pool, pool.conns.get(connId)!);
+    return;
+  }
   pool.conns.update(connId, {request: null});
   dropConn(
     pool,
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -470,14 +470,18 @@
       void claim(group);
       return;
     }
-    const rank = findRank(group, stored.ownership);
-    const watched = {seenAt, promisedUntil, rank};
+    const isDeputy = deputies.some(({host}) => host === self.host);
+    const isSuspect = isDeputy || !cfg.isReachable(owner.host);
+    const first = {seenAt, promisedUntil, rank: 0};
+    if (!isSuspect && now < readAbandonedAt(first)) {
+      // Ranking costs a hash of every host: none is due while the owner lives.
+      return;
+    }
+    const watched = {...first, rank: findRank(group, stored.ownership)};
     if (now >= readAbandonedAt(watched)) {
       void claim(group);
       return;
     }
-    const isDeputy = rank < deputies.length;
-    const isSuspect = isDeputy || !cfg.isReachable(owner.host);
     if (!isSuspect || now < readTakeoverAt(watched)) {
       return;
     }
@@ -523,6 +527,7 @@
   const review = (): void => {
     checkSuspended();
     const now = runtime.now();
+    const isServing = mayClaim && cfg.mayServe();
     for (const group of cfg.readGroups()) {
       const state = getState(group);
       if (state.lease !== null) {
@@ -530,7 +535,7 @@
         continue;
       }
       const isPaced = now - state.writtenAt >= WRITE_INTERVAL_MS;
-      const isFree = mayClaim && cfg.mayServe() && !state.isWriting && isPaced;
+      const isFree = isServing && !state.isWriting && isPaced;
       if (isFree) {
         reviewForeign(state, now);
       }
