--- a/packages/pooler/src/entry/caller_reply.ts
+++ b/packages/pooler/src/entry/caller_reply.ts
@@ -1,7 +1,6 @@
 /** What callers are told. */
 
-import type {LogPosition} from '@lacewingroad/core';
-import type {TxState} from '../model/statement.js';
+import type {StatementReply} from '../model/statement.js';
 
 /** Errors that callers are told. */
 export type CallerFault =
@@ -18,19 +17,4 @@
   | 'unknown';
 
 /** The answer to one statement of a caller. */
-export type CallerReply =
-  | {
-      readonly type: 'done';
-      readonly rows: readonly string[];
-      /** `-` where no endpoint ran the statement. */
-      readonly signature: string;
-      readonly state: TxState;
-      readonly position: LogPosition | null;
-    }
-  | {
-      readonly type: 'error';
-      readonly fault: CallerFault;
-      readonly text: string;
-      readonly state: TxState;
-      readonly position: LogPosition | null;
-    };
+export type CallerReply = StatementReply<CallerFault>;
--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -402,51 +402,44 @@
     sendRequest(req);
   };
 
-  const findRoute = (caller: Caller): Route | null =>
-    caller.tx?.route ?? cfg.readTable()?.routes.get(caller.database) ?? null;
-
-  /** Begins a statement that a pool has to run. */
-  const runData = (
-    caller: Caller,
-    arrived: Arrived,
-    statement: PoolStatement,
-  ): void => {
-    const route = findRoute(caller);
-    if (route === null) {
+  /** Finds the route of a caller; a caller whose database is gone is closed. */
+  const withRoute = (caller: Caller, then: (route: Route) => void): void => {
+    const routes = cfg.readTable()?.routes;
+    const route = caller.tx?.route ?? routes?.get(caller.database);
+    if (route === undefined) {
       answerFault(caller.id, 'no_database');
       closeCaller(caller.id);
       return;
     }
-    startRequest(caller, arrived, statement, route);
+    then(route);
   };
 
-  const beginTx = (
+  /** Begins a statement that a pool has to run. */
+  const runData = (
     caller: Caller,
     arrived: Arrived,
-    readOnly: boolean,
-  ): void => {
-    const route = findRoute(caller);
-    if (route === null) {
-      answerFault(caller.id, 'no_database');
-      closeCaller(caller.id);
-      return;
-    }
-    if (caller.tx !== null) {
-      answerFault(caller.id, 'bad_request');
-      return;
-    }
-    callers.update(caller.id, {
-      tx: {
-        id: createId(),
-        readOnly,
-        route,
-        startedAt: arrived.receivedAt,
-        isBegun: false,
-        isFailed: false,
-      },
+    statement: PoolStatement,
+  ): void =>
+    withRoute(caller, route => startRequest(caller, arrived, statement, route));
+
+  const beginTx = (caller: Caller, arrived: Arrived, readOnly: boolean): void =>
+    withRoute(caller, route => {
+      if (caller.tx !== null) {
+        answerFault(caller.id, 'bad_request');
+        return;
+      }
+      callers.update(caller.id, {
+        tx: {
+          id: createId(),
+          readOnly,
+          route,
+          startedAt: arrived.receivedAt,
+          isBegun: false,
+          isFailed: false,
+        },
+      });
+      answerDone(caller.id);
     });
-    answerDone(caller.id);
-  };
 
   const rollBack = (caller: Caller): void => {
     const {tx} = caller;
--- a/packages/pooler/src/model/statement.ts
+++ b/packages/pooler/src/model/statement.ts
@@ -65,24 +65,27 @@
   | 'aborted'
   | 'other';
 
-/** An endpoint's answer to one command. */
-export type EndpointReply =
+/** The answer to one statement or command. */
+export type StatementReply<Fault extends string> =
   | {
       readonly type: 'done';
       readonly rows: readonly string[];
-      /** Proof that the endpoint ran it; `-` where it gives none. */
+      /** Proof that an endpoint ran it; `-` where none gave any. */
       readonly signature: string;
       readonly state: TxState;
       readonly position: LogPosition | null;
     }
   | {
       readonly type: 'error';
-      readonly fault: EndpointFault;
+      readonly fault: Fault;
       readonly text: string;
       readonly state: TxState;
       readonly position: LogPosition | null;
     };
 
+/** An endpoint's answer to one command. */
+export type EndpointReply = StatementReply<EndpointFault>;
+
 /** What an endpoint states of itself. */
 export interface EndpointStatus {
   readonly role: 'primary' | 'replica';
