--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -41,10 +41,14 @@
   readonly hosts: ReadonlyMap<string, FleetHost>;
   readonly store: {
     isDown: boolean;
+    /** Its watches bring nothing, as between two calls. */
+    isMute: boolean;
     /** Hosts that the store turns away. */
     readonly refuses: Set<string>;
     record: StoredOwnership | null;
   };
+  /** Hosts that watch the list of endpoints. */
+  readonly watching: ReadonlySet<string>;
   /** Pairs of hosts, or a host and `store`, that cannot reach each other. */
   readonly cuts: Set<string>;
   readonly get: (name: string) => FleetHost;
@@ -90,8 +94,10 @@
   const group = createFakeGroup(runtime, GROUP);
   const hosts = new Map<string, FleetHost>();
   const cuts = new Set<string>();
+  const watching = new Set<string>();
   const store: Fleet['store'] = {
     isDown: false,
+    isMute: false,
     refuses: new Set(),
     record: null,
   };
@@ -159,7 +165,7 @@
   const tellRecord = (): void => {
     for (const {name} of hosts.values()) {
       runtime.at(runtime.now() + STORE_MS, () => {
-        if (isStoreOpen(name) && store.record !== null) {
+        if (isStoreOpen(name) && !store.isMute && store.record !== null) {
           const stored = store.record;
           deliver(name, () => get(name).host.noteOwnerships([stored], false));
         }
@@ -217,6 +223,11 @@
           }),
         send: (to, msg) => send(name, to, msg),
         promote: group.promote,
+        watchEndpoints: onList => {
+          onList({entries: group.readEntries(), readAt: runtime.now()});
+          watching.add(name);
+          return () => watching.delete(name);
+        },
         store: {
           read: async () =>
             (await afterStore(name, () => ({record: store.record})))?.record ??
@@ -237,7 +248,6 @@
     });
     target.host = host;
     host.noteTable(TABLE);
-    host.noteEndpoints({entries: group.readEntries(), readAt: runtime.now()});
     host.noteHosts(entries());
     if (isStoreOpen(name)) {
       host.noteOwnerships(store.record === null ? [] : [store.record], true);
@@ -289,6 +299,7 @@
     group,
     hosts,
     store,
+    watching,
     cuts,
     get,
     passTime,
--- a/packages/pooler/src/__tests__/unit/ownership.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership.test.ts
@@ -65,6 +65,34 @@
     expect(await fleet.write(name)).toMatchObject({type: 'done'});
   });
 
+  it('is taken over, and found, before a watch brings any record', async () => {
+    await fleet.passTime(500);
+    fleet.store.isMute = true;
+    // Two renewals pass that deputies learn of from the owner alone.
+    await fleet.passTime(11_000);
+    fleet.kill(owner);
+    const gap = await watchActing(LONGEST_GAP_MS);
+    expect(gap).toBeLessThan(LONGEST_GAP_MS);
+    expect(readOwner()).not.toBe(owner);
+    for (const name of fleet.hosts.keys()) {
+      if (name !== owner) {
+        expect(await fleet.write(name)).toMatchObject({type: 'done'});
+      }
+    }
+  });
+
+  it('lets its owner and deputies watch the endpoints, and nobody else', async () => {
+    const readInvolved = (): readonly string[] => {
+      const {owner, deputies} = fleet.store.record!.ownership;
+      return [owner, ...deputies].map(({host}) => host).sort();
+    };
+    expect([...fleet.watching].sort()).toEqual(readInvolved());
+    fleet.kill(owner);
+    await fleet.passTime(LONGEST_GAP_MS);
+    const living = [...fleet.watching].filter(name => name !== owner);
+    expect(living.sort()).toEqual(readInvolved());
+  });
+
   it('raises its generation with each owner', async () => {
     const before = fleet.store.record!.ownership.generation;
     fleet.kill(owner);
--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -41,7 +41,6 @@
   readonly handleMessage: (host: HostId, msg: PoolMessage) => void;
   readonly notePeer: (host: HostId, isUp: boolean) => void;
   readonly noteTable: (table: RouteTable) => void;
-  readonly noteEndpoints: (list: EndpointList) => void;
   readonly noteHosts: (hosts: readonly HostEntry[]) => void;
   /** Takes records into account; `isComplete` for a whole list. */
   readonly noteOwnerships: (
@@ -115,6 +114,29 @@
     return runtime.now() - lastLinkedAt >= CUT_OFF_MS;
   };
 
+  /** Ends the watch of endpoints; null while there is none. */
+  let stopEndpoints: Unregister | null = null;
+  /**
+   * Watches endpoints while this host owns a group or stands in for an owner:
+   * what every host watched would cost the store in proportion to the fleet.
+   */
+  const reviewEndpointWatch = (): void => {
+    const isWanted = ownership.isInvolved();
+    if (isWanted === (stopEndpoints !== null)) {
+      return;
+    }
+    if (!isWanted) {
+      stopEndpoints?.();
+      stopEndpoints = null;
+      endpoints = null;
+      return;
+    }
+    stopEndpoints = ports.watchEndpoints(list => {
+      endpoints = list;
+      pools.forEach(pool => pool.noteEndpoints());
+    });
+  };
+
   const ownership = createOwnershipController({
     self,
     incarnation,
@@ -126,6 +148,7 @@
     isListComplete: () => isListComplete,
     mayServe: () => !isCutOff(),
     onGained: group => {
+      reviewEndpointWatch();
       pools.get(group)?.close();
       pools.set(group, openPool(group));
       setOwner(group, self.host, ownership.readGeneration(group));
@@ -142,6 +165,7 @@
       if (!isOwn || claimedBy === incarnation) {
         setOwner(group, owner.host, generation);
       }
+      reviewEndpointWatch();
     },
   });
 
@@ -201,15 +225,9 @@
         request: msg.request,
         result: {type: 'refused', reason: 'not_owner'},
       });
-      const known = ownership.readOwnership(msg.group);
-      if (known !== null && known.owner.host !== self.host) {
-        send(host, {
-          type: 'owner',
-          group: msg.group,
-          generation: known.generation,
-          host: known.owner.host,
-          address: known.owner.address,
-        });
+      const stored = ownership.readStored(msg.group);
+      if (stored !== null && stored.ownership.owner.host !== self.host) {
+        send(host, {type: 'record', stored});
       }
     },
     ran: (_host, msg) => entry.handleRan(msg.request, msg.result),
@@ -218,7 +236,7 @@
     lease_grant: (host, msg) => ownership.handleGrant(host, msg),
     consent_ask: (host, msg) => ownership.handleConsentAsk(host, msg),
     consent: (host, msg) => ownership.handleConsent(host, msg),
-    owner: (_host, msg) => ownership.handleOwner(msg),
+    record: (_host, {stored}) => ownership.noteStored(stored),
     hello: (host, {isDraining: isLeaving}) => {
       if (isLeaving) {
         leaving.add(host);
@@ -328,10 +346,6 @@
       });
       table = next;
     },
-    noteEndpoints: list => {
-      endpoints = list;
-      pools.forEach(pool => pool.noteEndpoints());
-    },
     noteHosts: entries => {
       hosts = [self, ...entries.filter(({host}) => host !== self.host)];
       far = listFarHosts(self, hosts);
@@ -357,6 +371,7 @@
     },
     close: () => {
       unregisterLinks();
+      stopEndpoints?.();
       ownership.close();
       pools.forEach(pool => pool.close());
       pools.clear();
--- a/packages/pooler/src/model/message.ts
+++ b/packages/pooler/src/model/message.ts
@@ -1,7 +1,8 @@
 /** Messages between hosts. Spans of time travel as milliseconds that remain. */
 
-import type {GroupId, HostId, LogPosition} from '@lacewingroad/core';
+import type {GroupId, LogPosition} from '@lacewingroad/core';
 import type {Consistency} from './directory.js';
+import type {StoredOwnership} from './ownership.js';
 import type {RunResult} from './result.js';
 import type {DataStatement, SessionState} from './statement.js';
 
@@ -84,14 +85,10 @@
   readonly revision: number;
 }
 
-/** Tells who owns a group's pool. */
-export interface OwnerMessage {
-  readonly type: 'owner';
-  readonly group: GroupId;
-  readonly generation: number;
-  readonly host: HostId;
-  /** Where the owner listens for other hosts, `IP:PORT`. */
-  readonly address: string;
+/** Tells how a record stands in the store: the sender wrote or read it there. */
+export interface RecordMessage {
+  readonly type: 'record';
+  readonly stored: StoredOwnership;
 }
 
 /** Keeps a connection between two hosts, so that each sees the other's loss. */
@@ -110,5 +107,5 @@
   | LeaseGrantMessage
   | ConsentAskMessage
   | ConsentMessage
-  | OwnerMessage
+  | RecordMessage
   | HelloMessage;
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -25,7 +25,6 @@
   ConsentMessage,
   LeaseAskMessage,
   LeaseGrantMessage,
-  OwnerMessage,
 } from '../model/message.js';
 import type {
   HostAddress,
@@ -104,7 +103,7 @@
 
 /** Keeps track of who owns which group, and takes groups over. */
 export interface OwnershipController {
-  /** Takes a record of the store into account. */
+  /** Takes a record of the store, or of a host that knows it, into account. */
   readonly noteStored: (stored: StoredOwnership) => void;
   /** Notes the whole list that this process read first. */
   readonly noteFirstList: (stored: readonly StoredOwnership[]) => void;
@@ -112,15 +111,16 @@
   readonly handleGrant: (host: HostId, msg: LeaseGrantMessage) => void;
   readonly handleConsentAsk: (host: HostId, msg: ConsentAskMessage) => void;
   readonly handleConsent: (host: HostId, msg: ConsentMessage) => void;
-  readonly handleOwner: (msg: OwnerMessage) => void;
   /** Tells whether this host may act as a group's owner now. */
   readonly isValid: (group: GroupId) => boolean;
   readonly readGeneration: (group: GroupId) => number;
-  readonly readOwnership: (group: GroupId) => Ownership | null;
+  readonly readStored: (group: GroupId) => StoredOwnership | null;
   /** Returns all records that are known. */
   readonly listOwnerships: () => readonly Ownership[];
   /** Returns the groups that this host owns. */
   readonly readOwned: () => readonly GroupId[];
+  /** Tells whether this host owns a group, or is a deputy of an owner. */
+  readonly isInvolved: () => boolean;
   /** Hands a group to another host; resolves once that is written. */
   readonly release: (group: GroupId) => Promise<void>;
   /** Takes over nothing any more. */
@@ -245,20 +245,29 @@
     cfg.onLost(group);
   };
 
-  const announce = (ownership: Ownership): void => {
-    for (const {host} of cfg.readHosts()) {
-      if (host !== self.host && cfg.isReachable(host)) {
-        send(host, {
-          type: 'owner',
-          group: ownership.group,
-          generation: ownership.generation,
-          host: ownership.owner.host,
-          address: ownership.owner.address,
-        });
+  /** Tells hosts how a group's record stands. */
+  const share = (group: GroupId, hosts: Iterable<HostId>): void => {
+    const {stored} = getState(group);
+    if (stored === null) {
+      return;
+    }
+    for (const host of new Set(hosts)) {
+      if (host !== self.host) {
+        send(host, {type: 'record', stored});
       }
     }
   };
 
+  /**
+   * Tells all hosts of a new owner: they connect to it anyway, and learn of it
+   * from the store only once in a while.
+   */
+  const announce = (group: GroupId): void =>
+    share(
+      group,
+      cfg.readHosts().map(({host}) => host),
+    );
+
   const listOwnerships = (): readonly Ownership[] =>
     records
       .list()
@@ -344,7 +353,7 @@
         deputySets: [listDeputies(ownership)],
       },
     });
-    announce(ownership);
+    announce(group);
     cfg.onGained(group);
   };
 
@@ -397,6 +406,8 @@
       });
     }
     if (result.type === 'written') {
+      // Deputies consent only to the record as it stands.
+      share(group, lease!.deputySets.flat().concat(hosts));
       return;
     }
     record('warn', 'ownership_not_renewed', {
@@ -605,28 +616,24 @@
         claimWithConsents(group);
       }
     },
-    handleOwner: msg => {
-      const known = getState(msg.group).stored?.ownership;
-      if (known === undefined || msg.generation > known.generation) {
-        cfg.onOwner({
-          group: msg.group,
-          owner: {host: msg.host, address: msg.address},
-          incarnation: '',
-          generation: msg.generation,
-          deputies: [],
-          renewals: 0,
-        });
-      }
-    },
     isValid,
     readGeneration: group => getState(group).stored?.ownership.generation ?? 0,
-    readOwnership: group => getState(group).stored?.ownership ?? null,
+    readStored: group => getState(group).stored,
     listOwnerships,
     readOwned: () =>
       records
         .list()
         .filter(({lease}) => lease !== null)
         .map(({group}) => group),
+    isInvolved: () =>
+      records.list().some(({stored, lease}) => {
+        const ownership = stored?.ownership;
+        return (
+          lease !== null ||
+          ownership?.owner.host === self.host ||
+          ownership?.deputies.some(({host}) => host === self.host) === true
+        );
+      }),
     release: async group => {
       records.update(group, {isReleasing: true});
       while (getState(group).isWriting) {
@@ -657,7 +664,7 @@
         generation: ownership.generation,
       });
       if (result.type === 'written') {
-        announce(ownership);
+        announce(group);
       }
     },
     stopClaiming: () => {
--- a/packages/pooler/src/ports.ts
+++ b/packages/pooler/src/ports.ts
@@ -7,8 +7,8 @@
   HostId,
   LogPosition,
 } from '@lacewingroad/core';
-import type {Runtime} from '@lacewingroad/runtime';
-import type {EndpointEntry} from './model/directory.js';
+import type {Runtime, Unregister} from '@lacewingroad/runtime';
+import type {EndpointEntry, EndpointList} from './model/directory.js';
 import type {PoolMessage} from './model/message.js';
 import type {
   Ownership,
@@ -89,6 +89,11 @@
   ) => Promise<StoredOwnership | null | undefined>;
 }
 
+/** Brings the list of endpoints, now and at each change, until unregistered. */
+export type WatchEndpoints = (
+  onList: (list: EndpointList) => void,
+) => Unregister;
+
 /** Everything that a host is given. */
 export interface HostPorts {
   readonly runtime: Runtime;
@@ -99,4 +104,5 @@
   readonly send: (host: HostId, msg: PoolMessage) => void;
   readonly promote: Promote;
   readonly store: OwnershipStore;
+  readonly watchEndpoints: WatchEndpoints;
 }
