--- a/packages/pooler/src/__tests__/fake_group.ts
+++ b/packages/pooler/src/__tests__/fake_group.ts
@@ -34,6 +34,9 @@
   isDark: boolean;
   /** Commands whose answers are lost, by type. */
   losesAnswersOf: Set<string>;
+  /** Of so many statements one fails although all is well; 0 for none. */
+  failsEach: number;
+  statements: number;
   /** The next fault to answer a statement with. */
   faults: EndpointFault[];
   conns: number;
@@ -88,6 +91,8 @@
       workMs: 4,
       isDark: false,
       losesAnswersOf: new Set(),
+      failsEach: 0,
+      statements: 0,
       faults: [],
       conns: 0,
       reset: () => undefined,
@@ -188,6 +193,12 @@
       if (fault !== undefined) {
         return error(fault);
       }
+      if (request !== null && endpoint.failsEach > 0) {
+        endpoint.statements++;
+        if (endpoint.statements % endpoint.failsEach === 0) {
+          return error('failed');
+        }
+      }
       if (command.type === 'status') {
         const {role, term, received, lagMs} = endpoint;
         return done([`${role} ${term} ${term}.${received} 0 ${lagMs} 0 0`]);
--- a/packages/pooler/src/__tests__/unit/decisions.test.ts
+++ b/packages/pooler/src/__tests__/unit/decisions.test.ts
@@ -1,6 +1,12 @@
 /** Pure decisions: leases, positions, placement, order, candidates, owners. */
 
 import {describe, expect, it} from 'vitest';
+import {
+  isFailing,
+  NO_FAULTS,
+  noteOutcome,
+} from '../../decisions/fault_level.js';
+import type {FaultLevel} from '../../decisions/fault_level.js';
 import {canStartInTime, estimateWaitMs} from '../../decisions/admission.js';
 import {chooseCandidate} from '../../decisions/candidate.js';
 import type {Candidate} from '../../decisions/candidate.js';
@@ -151,17 +157,22 @@
   });
 });
 
+const VIEW: EndpointView = {
+  id: 'x',
+  isPrimary: false,
+  isUsable: true,
+  running: 0,
+  limit: 3,
+  hasConnection: true,
+  applied: at(10),
+  lagMs: 50,
+  faultShare: 0,
+  backoffUntil: 0,
+};
+
 describe('placement', () => {
   const view = (parts: Partial<EndpointView>): EndpointView => ({
-    id: 'x',
-    isPrimary: false,
-    isUsable: true,
-    running: 0,
-    limit: 3,
-    hasConnection: true,
-    applied: at(10),
-    lagMs: 50,
-    backoffUntil: 0,
+    ...VIEW,
     ...parts,
   });
   const need = {required: at(10), requiredSince: 0, avoided: []};
@@ -274,6 +285,39 @@
   });
 });
 
+describe('failures of an endpoint', () => {
+  const noteMany = (faults: readonly boolean[]): FaultLevel =>
+    faults.reduce(
+      (level, isFault, n) => noteOutcome(level, isFault, 1_000 + n * 10),
+      NO_FAULTS,
+    );
+
+  it('make it failing when half of its answers are', () => {
+    const level = noteMany(Array.from({length: 20}, (_, n) => n % 2 === 0));
+    expect(isFailing(level, 1_200)).toBe(true);
+  });
+
+  it('do not while one in five is', () => {
+    const level = noteMany(Array.from({length: 40}, (_, n) => n % 5 === 0));
+    expect(isFailing(level, 1_400)).toBe(false);
+  });
+
+  it('are forgotten within some seconds without answers', () => {
+    const level = noteMany(Array.from({length: 30}, () => true));
+    expect(isFailing(level, 1_300)).toBe(true);
+    expect(isFailing(level, 4_300)).toBe(false);
+  });
+
+  it('put it behind one that is busier and well', () => {
+    const views = [
+      {...VIEW, id: 'failing', faultShare: 0.5},
+      {...VIEW, id: 'busy', running: 2},
+    ];
+    const need = {required: null, requiredSince: null, avoided: []};
+    expect(chooseForRead(views, need, 100)).toBe('busy');
+  });
+});
+
 describe('the next primary', () => {
   const candidate = (
     id: string,
@@ -283,6 +327,7 @@
     id,
     received: at(index),
     isLeaving: false,
+    isFailing: false,
     isNear: false,
     ...parts,
   });
--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -344,6 +344,46 @@
     expect(probes.length).toBeLessThanOrEqual(51);
   });
 
+  /** Sends statements one after the other for a while; returns those failed. */
+  const sendSteadily = async (
+    ms: number,
+    parts: Partial<RunMessage>,
+  ): Promise<number> => {
+    const sent: string[] = [];
+    for (let passed = 0; passed < ms; passed += 10) {
+      sent.push(send(parts));
+      await passTime(10);
+    }
+    await passTime(300);
+    return sent.filter(id => results.get(id)?.type !== 'done').length;
+  };
+
+  it('keeps reads from a replica that fails half of them', async () => {
+    group.get('ledger-2').failsEach = 2;
+    const read = {consistency: 'bounded', maxStalenessMs: 1_500} as const;
+    await sendSteadily(500, read);
+    const before = group.ran.length;
+    expect(await sendSteadily(2_000, read)).toBe(0);
+    const ran = group.ran.slice(before);
+    const there = ran.filter(({endpoint}) => endpoint === 'ledger-2');
+    expect(there.length).toBeLessThan(ran.length / 10);
+  });
+
+  it('replaces a primary that fails half of its writes for long', async () => {
+    await passTime(5_000);
+    group.get('ledger-1').failsEach = 2;
+    await sendSteadily(2_500, {statement: WRITE});
+    expect(group.promotions).toHaveLength(1);
+    expect(await sendSteadily(1_000, {statement: WRITE})).toBe(0);
+  });
+
+  it('leaves a primary in place that fails one write in six', async () => {
+    await passTime(5_000);
+    group.get('ledger-1').failsEach = 6;
+    await sendSteadily(5_000, {statement: WRITE});
+    expect(group.promotions).toEqual([]);
+  });
+
   it('replaces a primary that is leaving once its transactions ended', async () => {
     const begun = send({tx: firstOf('t1'), statement: WRITE});
     await passTime(40);
--- a/packages/pooler/src/decisions/candidate.ts
+++ b/packages/pooler/src/decisions/candidate.ts
@@ -8,6 +8,8 @@
   readonly id: EndpointId;
   readonly received: LogPosition;
   readonly isLeaving: boolean;
+  /** Fails much of what it runs. */
+  readonly isFailing: boolean;
   readonly isNear: boolean;
 }
 
@@ -25,6 +27,9 @@
   if (a.isLeaving !== b.isLeaving) {
     return !a.isLeaving;
   }
+  if (a.isFailing !== b.isFailing) {
+    return !a.isFailing;
+  }
   const isAhead = isAtLeast(a.received, b.received);
   const isLevel = isAhead && isAtLeast(b.received, a.received);
   return isLevel ? a.isNear && !b.isNear : isAhead;
--- a/packages/pooler/src/decisions/placement.ts
+++ b/packages/pooler/src/decisions/placement.ts
@@ -20,6 +20,8 @@
   readonly applied: LogPosition | null;
   /** How far it is behind the primary, in ms. */
   readonly lagMs: number;
+  /** Share of what it ran lately that failed, 0 to 1. */
+  readonly faultShare: number;
   /** Takes no statement before this instant. */
   readonly backoffUntil: Instant;
 }
@@ -40,6 +42,11 @@
 const LAG_MARGIN = 1.5;
 /** Least time after which a replica is expected to have a position, in ms. */
 const LAG_MIN_MS = 2;
+/**
+ * Load that an endpoint is taken to have beyond its own when all it runs fails,
+ * as a share of its slots: one that fails half of it comes after a full one.
+ */
+const FAULT_LOAD = 2;
 /** Load that the primary is taken to have beyond its own, in slots. */
 const PRIMARY_SHARE = 0.34;
 
@@ -66,10 +73,11 @@
   return need.requiredSince === null || now >= need.requiredSince + waitMs;
 }
 
-/** Share of an endpoint that is in use; the primary keeps room for writes. */
+/** What counts against an endpoint; the primary keeps room for writes. */
 function readLoad(view: EndpointView): number {
   const extra = view.isPrimary ? PRIMARY_SHARE : 0;
-  return view.running / Math.max(1, view.limit) + extra;
+  const used = view.running / Math.max(1, view.limit);
+  return used + extra + view.faultShare * FAULT_LOAD;
 }
 
 /**
--- a/packages/pooler/src/owner/connections.ts
+++ b/packages/pooler/src/owner/connections.ts
@@ -12,7 +12,7 @@
   RESERVED_CONNECTIONS,
   SLOT_OVERBOOKING,
 } from './limits.js';
-import {noteAlive, noteDown} from './state.js';
+import {noteAlive, noteDown, noteRun} from './state.js';
 import type {Conn, EndpointState, Pool} from './state.js';
 
 /** Connections assumed where the table does not state any. */
@@ -110,6 +110,10 @@
         noteDown(pool, entry.id, detail);
         return;
       }
+      const job = conn.request === null ? null : pool.jobs.get(conn.request);
+      if (typeof job?.sentAt === 'number') {
+        noteRun(pool, entry.id, true);
+      }
       dropConn(pool, conn, detail, onLost);
     },
   });
--- a/packages/pooler/src/owner/jobs.ts
+++ b/packages/pooler/src/owner/jobs.ts
@@ -13,7 +13,7 @@
 import {dropConn} from './connections.js';
 import {BUSY_BACKOFF_MS, MAX_READ_ATTEMPTS, SERVICE_GAIN} from './limits.js';
 import {prepareConn, toCommand} from './prepare.js';
-import {noteAlive} from './state.js';
+import {noteAlive, noteRun} from './state.js';
 import type {Conn, Job, Pool, Tx} from './state.js';
 
 type ErrorReply = Extract<EndpointReply, {type: 'error'}>;
@@ -210,6 +210,7 @@
   if (conn === undefined || !isRepeatable(job.msg)) {
     return;
   }
+  noteRun(pool, conn.endpoint, true);
   dropConn(pool, conn, 'a read had no answer', endOnLostConn(pool));
 }
 
@@ -228,6 +229,9 @@
   endJob(pool, job, result);
   const conn = job.conn === null ? undefined : pool.conns.get(job.conn);
   if (conn !== undefined) {
+    if (wasSent) {
+      noteRun(pool, conn.endpoint, true);
+    }
     dropConn(pool, conn, 'a statement had no answer', endOnLostConn(pool));
   }
 }
@@ -429,6 +433,10 @@
     return;
   }
   noteService(pool, conn, job, reply);
+  const isRun = reply.type === 'done' || RAN_FAULTS.has(reply.fault);
+  if (isRun) {
+    noteRun(pool, conn.endpoint, reply.type === 'error');
+  }
   if (reply.type === 'done') {
     handleDone(pool, job, conn, reply);
   } else {
@@ -436,6 +444,13 @@
   }
 }
 
+/** Faults of a statement that the endpoint has begun to run. */
+const RAN_FAULTS: ReadonlySet<EndpointFault> = new Set([
+  'failed',
+  'timed_out',
+  'other',
+]);
+
 /** Takes the time and the position of an answer into account. */
 function noteService(
   pool: Pool,
--- a/packages/pooler/src/owner/limits.ts
+++ b/packages/pooler/src/owner/limits.ts
@@ -26,6 +26,11 @@
 export const PRIMARY_DOWN_MS = 350;
 /** Time for which all writes hang before their primary is replaced, in ms. */
 export const WRITES_STUCK_MS = 1_400;
+/** Time for which a primary fails much before it is replaced, in ms: a change
+ * of primary costs about as much as this. */
+export const FAILING_MS = 700;
+/** Time after a change of primary in which failures bring no other, in ms. */
+export const FAILING_PAUSE_MS = 5_000;
 /** Time for open transactions to end before a planned change, in ms. */
 export const PLANNED_DRAIN_MS = 900;
 /** Time for the named endpoint to lead before it is asked again, in ms. */
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -2,9 +2,12 @@
 
 import {chooseCandidate} from '../decisions/candidate.js';
 import type {Candidate} from '../decisions/candidate.js';
+import {isFailing} from '../decisions/fault_level.js';
 import {readAcked} from './acks.js';
 import {closeTx} from './jobs.js';
 import {
+  FAILING_MS,
+  FAILING_PAUSE_MS,
   PLANNED_DRAIN_MS,
   PRIMARY_DOWN_MS,
   PROMOTE_RETRY_MS,
@@ -13,7 +16,7 @@
   WRITES_STUCK_MS,
 } from './limits.js';
 import {endWorkAt} from './status.js';
-import type {Pool, Promotion} from './state.js';
+import type {EndpointState, Pool, Promotion} from './state.js';
 
 /** Tells whether writes hang at a primary that still answers. */
 function areWritesStuck(pool: Pool): boolean {
@@ -34,6 +37,22 @@
   });
 }
 
+/**
+ * Tells whether the primary has failed much of what it ran for long enough. A
+ * change takes about a second of writes, and one that did not help is not
+ * tried again at once.
+ */
+function isFailingForLong(pool: Pool, state: EndpointState): boolean {
+  const now = pool.now();
+  const {faults, failingSince} = state;
+  return (
+    failingSince !== null &&
+    isFailing(faults, now) &&
+    now - failingSince >= FAILING_MS &&
+    now - pool.read().adoptedAt >= FAILING_PAUSE_MS
+  );
+}
+
 /** Returns why the primary has to be replaced, or null. */
 function findReason(pool: Pool): Promotion['reason'] | null {
   const {primary} = pool.read();
@@ -51,6 +70,9 @@
   if (entry.isLeaving) {
     return 'leaving';
   }
+  if (isFailingForLong(pool, state)) {
+    return 'failing';
+  }
   return areWritesStuck(pool) ? 'stuck' : null;
 }
 
@@ -76,10 +98,16 @@
   }
 }
 
+/** Reasons for which the primary still runs what it has. */
+const PLANNED_REASONS: ReadonlySet<Promotion['reason']> = new Set([
+  'failing',
+  'leaving',
+]);
+
 /** Begins to replace the primary. */
 function beginPromotion(pool: Pool, reason: Promotion['reason']): void {
   const now = pool.now();
-  const isPlanned = reason === 'leaving';
+  const isPlanned = PLANNED_REASONS.has(reason);
   const {primary} = pool.read();
   pool.update({
     promotion: {
@@ -118,7 +146,7 @@
   if ((txs.length > 0 || isRunning) && pool.now() < promotion.drainBy) {
     return;
   }
-  txs.forEach(tx => closeTx(pool, tx, 'the primary is leaving'));
+  txs.forEach(tx => closeTx(pool, tx, `the primary is ${promotion.reason}`));
   if (primary !== null) {
     endWorkAt(pool, primary.endpoint);
   }
@@ -141,10 +169,11 @@
         (statusAskedAt ?? -1) >= promotion.startedAt &&
         now >= rejectedUntil,
     )
-    .map(({entry, status}) => ({
+    .map(({entry, status, faults}) => ({
       id: entry.id,
       received: status!.received,
       isLeaving: entry.isLeaving,
+      isFailing: isFailing(faults, now),
       isNear: entry.dataCentre === pool.cfg.dataCentre,
     }));
 }
@@ -159,8 +188,7 @@
   const state = pool.read();
   const current = state.primary;
   const isBack =
-    promotion.reason !== 'leaving' &&
-    promotion.reason !== 'stuck' &&
+    (promotion.reason === 'down' || promotion.reason === 'no_primary') &&
     current !== null &&
     pool.endpoints.get(current.endpoint)?.downSince === null;
   if (isBack) {
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -7,6 +7,8 @@
   LogPosition,
 } from '@lacewingroad/core';
 import type {Instant} from '@lacewingroad/runtime';
+import {isFailing, NO_FAULTS, noteOutcome} from '../decisions/fault_level.js';
+import type {FaultLevel} from '../decisions/fault_level.js';
 import type {AckedCommit} from '../decisions/positions.js';
 import type {PassedOver, WaitingJob} from '../decisions/queue_order.js';
 import type {
@@ -85,6 +87,9 @@
   readonly missingSince: Instant | null;
   /** It refused to lead; passed over until this instant. */
   readonly rejectedUntil: Instant;
+  readonly faults: FaultLevel;
+  /** Since when it fails too much of what it runs, or null. */
+  readonly failingSince: Instant | null;
   /** When it last answered a write, or null. */
   readonly wroteAt: Instant | null;
 }
@@ -97,7 +102,7 @@
 
 /** A change of primary that is in progress. */
 export interface Promotion {
-  readonly reason: 'down' | 'leaving' | 'stuck' | 'no_primary';
+  readonly reason: 'down' | 'failing' | 'leaving' | 'stuck' | 'no_primary';
   readonly phase: 'draining' | 'choosing' | 'calling' | 'awaiting';
   readonly startedAt: Instant;
   readonly drainBy: Instant;
@@ -118,6 +123,8 @@
   readonly isHandingOver: boolean;
   readonly isClosed: boolean;
   readonly openedAt: Instant;
+  /** When the primary was adopted. */
+  readonly adoptedAt: Instant;
 }
 
 /** What a pool needs of its host. */
@@ -164,6 +171,7 @@
     isHandingOver: false,
     isClosed: false,
     openedAt: cfg.ports.runtime.now(),
+    adoptedAt: cfg.ports.runtime.now(),
   };
   return {
     cfg,
@@ -195,10 +203,40 @@
     downSince: null,
     missingSince: null,
     rejectedUntil: 0,
+    faults: NO_FAULTS,
+    failingSince: null,
     wroteAt: null,
   };
 }
 
+/** Notes how a statement ended at an endpoint that ran it. */
+export function noteRun(
+  pool: Pool,
+  endpoint: EndpointId,
+  isFault: boolean,
+): void {
+  const state = pool.endpoints.get(endpoint);
+  if (state === undefined) {
+    return;
+  }
+  const now = pool.now();
+  const faults = noteOutcome(state.faults, isFault, now);
+  const since = isFailing(faults, now) ? (state.failingSince ?? now) : null;
+  if ((since === null) !== (state.failingSince === null)) {
+    pool.cfg.ports.record(
+      since === null ? 'info' : 'warn',
+      since === null ? 'endpoint_well' : 'endpoint_failing',
+      {
+        group: pool.cfg.group,
+        endpoint,
+        fault_share: Math.round(faults.share * 100) / 100,
+        is_primary: pool.read().primary?.endpoint === endpoint,
+      },
+    );
+  }
+  pool.endpoints.update(endpoint, {faults, failingSince: since});
+}
+
 /** Notes that an endpoint answered. */
 export function noteAlive(pool: Pool, endpoint: EndpointId): void {
   const state = pool.endpoints.get(endpoint);
--- a/packages/pooler/src/owner/status.ts
+++ b/packages/pooler/src/owner/status.ts
@@ -72,6 +72,7 @@
   pool.update({
     primary,
     promotion: null,
+    adoptedAt: pool.now(),
     base: latestOf(pool.read().base, state.status!.received),
   });
   pool.cfg.ports.record('info', 'primary_adopted', {
--- a/packages/pooler/src/owner/views.ts
+++ b/packages/pooler/src/owner/views.ts
@@ -1,5 +1,6 @@
 /** What placement has to know of the endpoints. */
 
+import {readFaultShare} from '../decisions/fault_level.js';
 import type {EndpointView} from '../decisions/placement.js';
 import {countAllConns, readSlotLimit} from './connections.js';
 import type {Pool} from './state.js';
@@ -30,6 +31,7 @@
       hasConnection: (used?.free ?? 0) > 0,
       applied: state.applied,
       lagMs: state.lagMs,
+      faultShare: readFaultShare(state.faults, pool.now()),
       backoffUntil: state.backoffUntil,
       pinned: used?.pinned ?? 0,
     };
