--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -89,6 +89,7 @@
 export function createFleet(
   centres: readonly string[],
   perCentre: number,
+  readCpuShare: (name: string) => number = () => 1,
 ): Fleet {
   const runtime = createVirtualRuntime(7);
   const group = createFakeGroup(runtime, GROUP);
@@ -178,7 +179,7 @@
       host: name,
       address: `${name}:1`,
       dataCentre,
-      cpuShare: 1,
+      cpuShare: readCpuShare(name),
     }));
 
   /** The clock of one host: it stands still while the host is paused. */
@@ -205,7 +206,12 @@
     target.linked.clear();
     const {starts, dataCentre, replies} = target;
     const host = createHost({
-      self: {host: name, address: `${name}:1`, dataCentre, cpuShare: 1},
+      self: {
+        host: name,
+        address: `${name}:1`,
+        dataCentre,
+        cpuShare: readCpuShare(name),
+      },
       incarnation: `${name}.${starts}`,
       readStatus: readFakeStatus,
       ports: {
--- a/packages/pooler/src/__tests__/unit/decisions.test.ts
+++ b/packages/pooler/src/__tests__/unit/decisions.test.ts
@@ -26,7 +26,11 @@
   chooseWitnesses,
   listFarHosts,
 } from '../../decisions/links.js';
-import {assignGroups, chooseDeputies} from '../../decisions/owner_choice.js';
+import {
+  assignGroups,
+  chooseDeputies,
+  findBetterHost,
+} from '../../decisions/owner_choice.js';
 import {chooseForRead, isExpectedToHave} from '../../decisions/placement.js';
 import type {EndpointView} from '../../decisions/placement.js';
 import {
@@ -368,6 +372,24 @@
   });
   const hosts = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2'].map(name => host(name));
 
+  it('moves a group from a small host with two to a large idle one only', () => {
+    const small = host('a1', 0.3);
+    const owned = (group: string): Ownership => ({
+      group,
+      owner: small,
+      incarnation: '',
+      generation: 1,
+      deputies: [],
+      renewals: 0,
+    });
+    const both = [owned('g1'), owned('g2')];
+    const large = host('b1', 1.3);
+    expect(findBetterHost('g1', small, [large], both)).toEqual(large);
+    const alike = host('c1', 0.3);
+    expect(findBetterHost('g1', small, [alike], [both[0]!])).toBeNull();
+    expect(findBetterHost('g1', small, [], both)).toBeNull();
+  });
+
   it('spreads groups over hosts that start together', () => {
     const assigned = assignGroups(['g1', 'g2', 'g3'], hosts);
     expect(new Set(assigned.values()).size).toBe(3);
@@ -404,10 +426,10 @@
     const [first] = many;
     const witnesses = chooseWitnesses(first!, listFarHosts(first!, many));
     expect(witnesses.every(id => !id.startsWith('a'))).toBe(true);
-    const links = chooseLinks(first!, witnesses, [ownership]);
+    const links = chooseLinks(first!, witnesses, [], [ownership]);
     expect(links).toContain(many[5]!.host);
     expect(links.length).toBeLessThan(8);
-    expect(chooseLinks(many[5]!, [], [ownership])).toEqual(
+    expect(chooseLinks(many[5]!, [], [], [ownership])).toEqual(
       expect.arrayContaining([many[1]!.host, many[2]!.host]),
     );
   });
--- a/packages/pooler/src/__tests__/unit/ownership.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership.test.ts
@@ -93,6 +93,27 @@
     expect(living.sort()).toEqual(readInvolved());
   });
 
+  it('moves to a host that is much larger, once that is back', async () => {
+    const LARGE = 'lima-b-1';
+    fleet = createFleet(CENTRES, 2, name => (name === LARGE ? 4 : 1));
+    await fleet.passTime(4_000);
+    expect(readOwner()).toBe(LARGE);
+    fleet.kill(LARGE);
+    await fleet.passTime(LONGEST_GAP_MS);
+    expect(readOwner()).not.toBe(LARGE);
+    fleet.start(LARGE);
+    const gap = await watchActing(10_000);
+    expect(readOwner()).toBe(LARGE);
+    expect(gap).toBeLessThan(500);
+    expect(await fleet.write('lima-a-1')).toMatchObject({type: 'done'});
+  });
+
+  it('stays where it is among hosts of one size', async () => {
+    const {generation} = fleet.store.record!.ownership;
+    await fleet.passTime(12_000);
+    expect(fleet.store.record!.ownership.generation).toBe(generation);
+  });
+
   it('raises its generation with each owner', async () => {
     const before = fleet.store.record!.ownership.generation;
     fleet.kill(owner);
--- a/packages/pooler/src/decisions/links.ts
+++ b/packages/pooler/src/decisions/links.ts
@@ -33,18 +33,19 @@
 
 /**
  * Chooses the hosts to keep connections to: owners, since statements go there,
- * the deputies of groups that this host owns, and its witnesses. Their number
- * grows with the groups, not with the hosts.
+ * the deputies of groups that this host owns, its witnesses, and `candidates`
+ * for its groups. Their number grows with the groups, not with the hosts.
  */
 export function chooseLinks(
   self: HostEntry,
   witnesses: readonly HostId[],
+  candidates: readonly HostId[],
   ownerships: readonly Ownership[],
 ): readonly HostId[] {
   const needed = ownerships.flatMap(({owner, deputies}) =>
     owner.host === self.host ? deputies.map(({host}) => host) : [owner.host],
   );
-  return [...new Set([...needed, ...witnesses])].filter(
+  return [...new Set([...needed, ...witnesses, ...candidates])].filter(
     host => host !== self.host,
   );
 }
--- a/packages/pooler/src/decisions/owner_choice.ts
+++ b/packages/pooler/src/decisions/owner_choice.ts
@@ -25,6 +25,21 @@
   return loads;
 }
 
+/** Returns what a group would be in load for each host's processor. */
+function readCosts(
+  group: GroupId,
+  hosts: readonly HostEntry[],
+  ownerships: Iterable<Ownership>,
+): ReadonlyMap<HostId, number> {
+  const loads = readLoads(ownerships, group);
+  return new Map(
+    hosts.map(({host, cpuShare}) => [
+      host,
+      ((loads.get(host) ?? 0) + 0.5) / Math.max(0.1, cpuShare),
+    ]),
+  );
+}
+
 /**
  * Orders hosts for a group, the best first: those with the fewest groups for
  * their processor, then by rendezvous hashing, so that all hosts agree.
@@ -34,17 +49,40 @@
   hosts: readonly HostEntry[],
   ownerships: Iterable<Ownership>,
 ): readonly HostEntry[] {
-  const loads = readLoads(ownerships, group);
+  const costs = readCosts(group, hosts, ownerships);
   const byId = new Map(hosts.map(entry => [entry.host, entry]));
   const ranked = orderByRendezvous(group, [...byId.keys()]);
-  const readCost = (host: HostId): number =>
-    ((loads.get(host) ?? 0) + 0.5) / Math.max(0.1, byId.get(host)!.cpuShare);
   return ranked
-    .map((host, rank) => ({host, rank, cost: readCost(host)}))
+    .map((host, rank) => ({host, rank, cost: costs.get(host)!}))
     .sort((a, b) => a.cost - b.cost || a.rank - b.rank)
     .map(({host}) => byId.get(host)!);
 }
 
+/**
+ * How many times better off another host has to be before a group moves there:
+ * a move leaves the group without an owner for about a fifth of a second, and
+ * two hosts that differ less would not gain that back.
+ */
+const MOVE_FACTOR = 2;
+
+/**
+ * Returns the host that a group should move to, or null. It answers what a loss
+ * of many hosts leaves behind: several groups on one small host, which cannot
+ * keep up once the load is back, while large ones stand idle.
+ */
+export function findBetterHost(
+  group: GroupId,
+  owner: HostEntry,
+  reachable: readonly HostEntry[],
+  ownerships: readonly Ownership[],
+): HostEntry | null {
+  const hosts = [owner, ...reachable.filter(({host}) => host !== owner.host)];
+  const [best] = orderHosts(group, hosts, ownerships);
+  const costs = readCosts(group, hosts, ownerships);
+  const gain = costs.get(owner.host)! / costs.get(best!.host)!;
+  return gain >= MOVE_FACTOR ? best! : null;
+}
+
 /**
  * Shares groups out among hosts that start together: each group in the order
  * of its name takes the best host that none before it took.
--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -9,7 +9,11 @@
 import type {Entry} from './entry/entry.js';
 import type {EndpointList, RouteTable} from './model/directory.js';
 import type {PoolMessage} from './model/message.js';
-import type {HostEntry, StoredOwnership} from './model/ownership.js';
+import type {
+  HostAddress,
+  HostEntry,
+  StoredOwnership,
+} from './model/ownership.js';
 import {createGroupPool} from './owner/group_pool.js';
 import type {GroupPool} from './owner/group_pool.js';
 import type {ReadStatus} from './owner/status.js';
@@ -292,23 +296,51 @@
     }
   };
 
+  let isMoving = false;
+  /** Moves one group to a host that is much better off, if there is one. */
+  const moveGroup = (): void => {
+    if (isMoving || isDraining) {
+      return;
+    }
+    for (const group of ownership.readOwned()) {
+      const to = ownership.findBetterOwner(group);
+      if (to !== null) {
+        isMoving = true;
+        record('info', 'group_moved', {group, to: to.host});
+        void releaseGroup(group, to).finally(() => {
+          isMoving = false;
+        });
+        return;
+      }
+    }
+  };
+
   let unregisterLinks: Unregister = () => undefined;
   const keepLinks = (): void => {
-    const links = chooseLinks(self, witnesses, ownership.listOwnerships());
+    const links = chooseLinks(
+      self,
+      witnesses,
+      ownership.listCandidates(),
+      ownership.listOwnerships(),
+    );
     links.forEach(host => send(host, {type: 'hello', isDraining}));
     closeWhileCutOff();
+    moveGroup();
     unregisterLinks = runtime.at(runtime.now() + LINK_INTERVAL_MS, keepLinks);
   };
   unregisterLinks = runtime.at(runtime.now() + LINK_INTERVAL_MS, keepLinks);
 
-  const releaseGroup = async (group: GroupId): Promise<void> => {
+  const releaseGroup = async (
+    group: GroupId,
+    to: HostAddress | null,
+  ): Promise<void> => {
     const pool = pools.get(group);
     pool?.beginHandover();
     const deadline = runtime.now() + HANDOVER_MS;
     while (pool?.isIdle() === false && runtime.now() < deadline) {
       await waitUntil(runtime, runtime.now() + HANDOVER_POLL_MS);
     }
-    await ownership.release(group);
+    await ownership.release(group, to);
   };
 
   return {
@@ -367,7 +399,9 @@
       isDraining = true;
       ownership.stopClaiming();
       linked.forEach(host => send(host, {type: 'hello', isDraining}));
-      await Promise.all(ownership.readOwned().map(releaseGroup));
+      await Promise.all(
+        ownership.readOwned().map(group => releaseGroup(group, null)),
+      );
     },
     close: () => {
       unregisterLinks();
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -18,6 +18,7 @@
 import {
   assignGroups,
   chooseDeputies,
+  findBetterHost,
   orderHosts,
 } from '../decisions/owner_choice.js';
 import type {
@@ -46,6 +47,11 @@
 const RENEW_INTERVAL_MS = ABANDONED_WAIT_MS / 3;
 /** Interval at which records are looked at, in ms. */
 const REVIEW_INTERVAL_MS = 100;
+/** Time for which an owner keeps a group before it moves it, in ms: the list of
+ * hosts and their records settle in it, and moves stay rare. */
+const SETTLE_MS = 6_000;
+/** Hosts per owned group that a connection is kept to, to move it there. */
+const CANDIDATE_COUNT = 3;
 /** Interval at which a release looks whether a write has ended, in ms. */
 const RELEASE_POLL_MS = 5;
 /** Time for hosts to register before records are first created, in ms. */
@@ -71,6 +77,8 @@
   readonly consents: ReadonlySet<HostId>;
   /** Set while this host is the owner. */
   readonly lease: HeldLease | null;
+  /** When this host became the owner. */
+  readonly gainedAt: Instant;
   readonly askedAt: Instant;
   readonly asks: ReadonlyMap<number, {host: HostId; sentAt: Instant}>;
   readonly writtenAt: Instant;
@@ -121,8 +129,12 @@
   readonly readOwned: () => readonly GroupId[];
   /** Tells whether this host owns a group, or is a deputy of an owner. */
   readonly isInvolved: () => boolean;
-  /** Hands a group to another host; resolves once that is written. */
-  readonly release: (group: GroupId) => Promise<void>;
+  /** Returns hosts that could take this host's groups, linked or not. */
+  readonly listCandidates: () => readonly HostId[];
+  /** Returns a host that an owned group should move to, or null. */
+  readonly findBetterOwner: (group: GroupId) => HostAddress | null;
+  /** Hands a group to a host, or a deputy; resolves once that is written. */
+  readonly release: (group: GroupId, to: HostAddress | null) => Promise<void>;
   /** Takes over nothing any more. */
   readonly stopClaiming: () => void;
   readonly close: () => void;
@@ -137,6 +149,7 @@
     consentedTo: -Infinity,
     consents: new Set(),
     lease: null,
+    gainedAt: -Infinity,
     askedAt: -Infinity,
     asks: new Map(),
     writtenAt: -Infinity,
@@ -274,6 +287,12 @@
       .map(({stored}) => stored?.ownership)
       .filter(ownership => ownership !== undefined);
 
+  const readOwned = (): readonly GroupId[] =>
+    records
+      .list()
+      .filter(({lease}) => lease !== null)
+      .map(({group}) => group);
+
   const pickDeputies = (group: GroupId): readonly HostAddress[] => {
     const reachable = cfg.readHosts().filter(({host}) => cfg.isReachable(host));
     return chooseDeputies(group, self, reachable, listOwnerships()).map(
@@ -347,6 +366,7 @@
   ): void => {
     records.update(group, {
       askedAt: -Infinity,
+      gainedAt: runtime.now(),
       lease: {
         renewedAt,
         grants: new Map(),
@@ -620,11 +640,7 @@
     readGeneration: group => getState(group).stored?.ownership.generation ?? 0,
     readStored: group => getState(group).stored,
     listOwnerships,
-    readOwned: () =>
-      records
-        .list()
-        .filter(({lease}) => lease !== null)
-        .map(({group}) => group),
+    readOwned,
     isInvolved: () =>
       records.list().some(({stored, lease}) => {
         const ownership = stored?.ownership;
@@ -634,7 +650,30 @@
           ownership?.deputies.some(({host}) => host === self.host) === true
         );
       }),
-    release: async group => {
+    listCandidates: () =>
+      readOwned().flatMap(group =>
+        orderHosts(group, cfg.readHosts(), listOwnerships())
+          .slice(0, CANDIDATE_COUNT)
+          .map(({host}) => host),
+      ),
+    findBetterOwner: group => {
+      const {lease, gainedAt, isWriting, isReleasing} = getState(group);
+      const now = runtime.now();
+      // A move needs the store: without it, the group would stay without owner.
+      const isSettled =
+        lease !== null &&
+        now - gainedAt >= SETTLE_MS &&
+        now - lease.renewedAt < RENEW_INTERVAL_MS;
+      if (!isSettled || isWriting || isReleasing) {
+        return null;
+      }
+      const reachable = cfg
+        .readHosts()
+        .filter(({host}) => cfg.isReachable(host));
+      const better = findBetterHost(group, self, reachable, listOwnerships());
+      return better === null ? null : toAddress(better);
+    },
+    release: async (group, to) => {
       records.update(group, {isReleasing: true});
       while (getState(group).isWriting) {
         await waitUntil(runtime, runtime.now() + RELEASE_POLL_MS);
@@ -643,23 +682,25 @@
       const deputy = stored?.ownership.deputies.find(({host}) =>
         cfg.isReachable(host),
       );
+      const next = to ?? deputy;
       lose(group, 'handed over');
-      if (stored === null || deputy === undefined) {
+      records.update(group, {isReleasing: false});
+      if (stored === null || next === undefined) {
         return;
       }
       const ownership: Ownership = {
         ...stored.ownership,
-        owner: deputy,
+        owner: next,
         incarnation: '',
         generation: stored.revision + 1,
         deputies: stored.ownership.deputies.filter(
-          ({host}) => host !== deputy.host,
+          ({host}) => host !== next.host,
         ),
       };
       const result = await write(ownership, stored);
       record('info', 'ownership_released', {
         group,
-        to: deputy.host,
+        to: next.host,
         outcome: result.type,
         generation: ownership.generation,
       });
