--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -222,17 +222,18 @@
   const now = pool.now();
   const faults = noteOutcome(state.faults, isFault, now);
   const since = isFailing(faults, now) ? (state.failingSince ?? now) : null;
-  if ((since === null) !== (state.failingSince === null)) {
-    pool.cfg.ports.record(
-      since === null ? 'info' : 'warn',
-      since === null ? 'endpoint_well' : 'endpoint_failing',
-      {
-        group: pool.cfg.group,
-        endpoint,
-        fault_share: Math.round(faults.share * 100) / 100,
-        is_primary: pool.read().primary?.endpoint === endpoint,
-      },
-    );
+  const {record} = pool.cfg.ports;
+  const fields = {
+    group: pool.cfg.group,
+    endpoint,
+    fault_share: Math.round(faults.share * 100) / 100,
+    is_primary: pool.read().primary?.endpoint === endpoint,
+  };
+  if (since !== null && state.failingSince === null) {
+    record('warn', 'endpoint_failing', fields);
+  }
+  if (since === null && state.failingSince !== null) {
+    record('info', 'endpoint_well', fields);
   }
   pool.endpoints.update(endpoint, {faults, failingSince: since});
 }
