--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -384,6 +384,40 @@
     expect(group.promotions).toEqual([]);
   });
 
+  it('keeps the connection of a statement that outlasts its time', async () => {
+    group.get('ledger-1').workMs = 200;
+    const slow = send({statement: WRITE, timeoutLeftMs: 100});
+    await passTime(150);
+    expect(results.get(slow)).toMatchObject({type: 'unknown'});
+    await passTime(200);
+    expect(events).not.toContain('conn_lost');
+    group.get('ledger-1').workMs = 4;
+    const next = send({statement: WRITE});
+    await passTime(50);
+    expect(results.get(next)?.type).toBe('done');
+  });
+
+  it('gives up a connection that stays silent after that', async () => {
+    group.get('ledger-1').losesAnswersOf.add('PUT x 1');
+    send({statement: WRITE, timeoutLeftMs: 100});
+    await passTime(400);
+    expect(events).not.toContain('conn_lost');
+    await passTime(500);
+    expect(events).toContain('conn_lost');
+  });
+
+  it('gives no slot to a statement that has too little time left', async () => {
+    for (const id of ['ledger-1', 'ledger-2', 'ledger-3']) {
+      group.get(id).workMs = 40;
+    }
+    await sendSteadily(2_000, {});
+    events = [];
+    const late = send({timeoutLeftMs: 20});
+    await passTime(100);
+    expect(events).not.toContain('job_started');
+    expect(results.get(late)).toMatchObject({type: 'refused'});
+  });
+
   it('replaces a primary that is leaving once its transactions ended', async () => {
     const begun = send({tx: firstOf('t1'), statement: WRITE});
     await passTime(40);
--- a/packages/pooler/src/owner/connections.ts
+++ b/packages/pooler/src/owner/connections.ts
@@ -230,7 +230,10 @@
       continue;
     }
     if (conn.answerBy !== null && now >= conn.answerBy) {
-      dropConn(pool, conn, 'no answer on an idle connection', onLost);
+      if (conn.request !== null) {
+        noteRun(pool, conn.endpoint, true);
+      }
+      dropConn(pool, conn, 'no answer where one was due', onLost);
       continue;
     }
     if (!isFree(conn)) {
--- a/packages/pooler/src/owner/group_pool.ts
+++ b/packages/pooler/src/owner/group_pool.ts
@@ -27,6 +27,7 @@
 import {createEndpointState, createPool} from './state.js';
 import type {Job, Pool, PoolConfig} from './state.js';
 import {createStatusProbes} from './status.js';
+import {readLeastTimeMs} from './views.js';
 import type {ReadStatus} from './status.js';
 
 /** The pool of a group. */
@@ -65,9 +66,6 @@
   return canStartInTime(load, msg.timeoutLeftMs);
 }
 
-/** Shortest time that a statement is worth sending for, in ms. */
-const LEAST_TIME_MS = 3;
-
 function noteEndpoints(pool: Pool): void {
   const now = pool.now();
   const list = pool.cfg.readEndpoints();
@@ -131,10 +129,11 @@
 
 function reviewJobs(pool: Pool): void {
   const now = pool.now();
+  const leastMs = readLeastTimeMs(pool);
   for (const job of pool.jobs.list()) {
     const isOver =
       job.phase === 'waiting'
-        ? now + LEAST_TIME_MS >= job.deadline
+        ? now + leastMs >= job.deadline
         : now >= job.deadline;
     if (isOver) {
       expireJob(pool, job);
--- a/packages/pooler/src/owner/jobs.ts
+++ b/packages/pooler/src/owner/jobs.ts
@@ -119,12 +119,18 @@
   });
 }
 
+/** Time after its deadline for the answer to a statement, in ms. */
+const LATE_ANSWER_MS = 500;
 /** Time for the answer to a rollback, which needs no slot, in ms. */
 const ROLLBACK_MS = 600;
 
 /** Frees a connection after its statement. */
 function releaseConn(pool: Pool, conn: Conn): void {
-  pool.conns.update(conn.id, {request: null, idleSince: pool.now()});
+  pool.conns.update(conn.id, {
+    request: null,
+    answerBy: null,
+    idleSince: pool.now(),
+  });
   pool.wake();
 }
 
@@ -228,12 +234,16 @@
       : refused('too_late');
   endJob(pool, job, result);
   const conn = job.conn === null ? undefined : pool.conns.get(job.conn);
-  if (conn !== undefined) {
-    if (wasSent) {
-      noteRun(pool, conn.endpoint, true);
-    }
-    dropConn(pool, conn, 'a statement had no answer', endOnLostConn(pool));
+  if (conn === undefined) {
+    return;
+  }
+  if (wasSent && job.msg.tx === null) {
+    // It goes on running there. A new connection would take a slot as well, at
+    // the very time when there are too few.
+    pool.conns.update(conn.id, {answerBy: pool.now() + LATE_ANSWER_MS});
+    return;
   }
+  dropConn(pool, conn, 'a statement had no answer', endOnLostConn(pool));
 }
 
 function closeTxOf(pool: Pool, job: Job, reason: string): void {
--- a/packages/pooler/src/owner/scheduler.ts
+++ b/packages/pooler/src/owner/scheduler.ts
@@ -7,7 +7,7 @@
 import {endJob, isWrite, runJob} from './jobs.js';
 import {refused} from '../model/result.js';
 import type {Conn, Job, Pool} from './state.js';
-import {readViews} from './views.js';
+import {readLeastTimeMs, readViews} from './views.js';
 import type {PoolView} from './views.js';
 
 interface Place {
@@ -132,11 +132,13 @@
   if (!hasSlot(views)) {
     return;
   }
+  const leastMs = readLeastTimeMs(pool);
   const blocked = new Set<string>();
   const ranks = countRanks(waiting);
   for (const job of orderJobs(waiting, pool.read().passedOver, pool.now())) {
     const key = readWaitKey(job);
-    if (key !== null && blocked.has(key)) {
+    const isLate = pool.now() + leastMs >= job.deadline;
+    if (isLate || (key !== null && blocked.has(key))) {
       continue;
     }
     const found = place(pool, job, views);
--- a/packages/pooler/src/owner/views.ts
+++ b/packages/pooler/src/owner/views.ts
@@ -11,6 +11,21 @@
   readonly pinned: number;
 }
 
+/** Shortest time that a statement is worth sending for, in ms. */
+const LEAST_TIME_MS = 3;
+
+/**
+ * Returns the time that a statement needs to be worth a slot, in ms: what takes
+ * longer than it has left would keep one that can still be served from running.
+ */
+export function readLeastTimeMs(pool: Pool): number {
+  const times = pool.endpoints
+    .list()
+    .filter(({downSince}) => downSince === null)
+    .map(({serviceMs}) => serviceMs);
+  return Math.max(LEAST_TIME_MS, times.length === 0 ? 0 : Math.min(...times));
+}
+
 /** Returns the endpoints as they stand now. */
 export function readViews(pool: Pool): readonly PoolView[] {
   const {primary, promotion} = pool.read();
