Trial: fewer connections and greetings between hosts

Owners that are far away tell a cut as well. Read beside it: deputies asked each other for consent only where a connection happened to stand.

--- a/packages/pooler/src/__tests__/unit/decisions.test.ts
+++ b/packages/pooler/src/__tests__/unit/decisions.test.ts
@@ -23,8 +23,8 @@
 import type {HeldLease} from '../../decisions/lease.js';
 import {
   chooseLinks,
-  chooseWitnesses,
   listFarHosts,
+  orderWitnesses,
 } from '../../decisions/links.js';
 import {
   assignGroups,
@@ -411,6 +411,21 @@
     expect(deputies[2]?.dataCentre).toBe('a');
   });
 
+  it('needs no witnesses where owners are far away in several places', () => {
+    const far = ['b1', 'b2', 'c1', 'c2', 'c3', 'c4'];
+    const ownerships = far.slice(0, 4).map((name): Ownership => ({
+      group: `g-${name}`,
+      owner: host(name),
+      incarnation: '',
+      generation: 1,
+      deputies: [],
+      renewals: 0,
+    }));
+    const self = host('a1');
+    expect(chooseLinks(self, far, [], ownerships)).toEqual(far.slice(0, 4));
+    expect(chooseLinks(self, far, [], ownerships.slice(0, 1))).toHaveLength(4);
+  });
+
   it('keeps connections to owners, deputies and a few others only', () => {
     const many = Array.from({length: 300}, (_, n) =>
       host(`${'abc'[n % 3]}${n}`),
@@ -424,11 +439,15 @@
       renewals: 0,
     };
     const [first] = many;
-    const witnesses = chooseWitnesses(first!, listFarHosts(first!, many));
+    const witnesses = orderWitnesses(first!, listFarHosts(first!, many));
     expect(witnesses.every(id => !id.startsWith('a'))).toBe(true);
     const links = chooseLinks(first!, witnesses, [], [ownership]);
     expect(links).toContain(many[5]!.host);
     expect(links.length).toBeLessThan(8);
+    // A deputy needs the consent of the others.
+    expect(chooseLinks(many[1]!, [], [], [ownership])).toEqual(
+      expect.arrayContaining([many[2]!.host, many[5]!.host]),
+    );
     expect(chooseLinks(many[5]!, [], [], [ownership])).toEqual(
       expect.arrayContaining([many[1]!.host, many[2]!.host]),
     );
--- a/packages/pooler/src/decisions/links.ts
+++ b/packages/pooler/src/decisions/links.ts
@@ -4,8 +4,8 @@
 import type {HostId} from '@lacewingroad/core';
 import type {HostEntry, Ownership} from '../model/ownership.js';
 
-/** Hosts beside owners and deputies: enough to tell a cut from their loss. */
-const WITNESS_COUNT = 4;
+/** Connections to far hosts at least: enough to tell a cut from their loss. */
+const FAR_LINKS = 4;
 
 /** Returns the hosts of other data centres, or all others where there is one. */
 export function listFarHosts(
@@ -18,23 +18,24 @@
 }
 
 /**
- * Chooses a few of the far hosts, whose silence tells a cut from the loss of
+ * Orders the far hosts, for those whose silence tells a cut from the loss of
  * one host. Costs a hash of each: call it when the list of hosts changes.
  */
-export function chooseWitnesses(
+export function orderWitnesses(
   self: HostEntry,
   far: readonly HostEntry[],
 ): readonly HostId[] {
   return orderByRendezvous(
     self.host,
     far.map(({host}) => host),
-  ).slice(0, WITNESS_COUNT);
+  );
 }
 
 /**
- * Chooses the hosts to keep connections to: owners, since statements go there,
- * the deputies of groups that this host owns, its witnesses, and `candidates`
- * for its groups. Their number grows with the groups, not with the hosts.
+ * Chooses the hosts to keep connections to: owners, since statements go there;
+ * for groups that this host owns or stands in for, their deputies, who promise
+ * and consent; and `candidates` for its groups. Where few of these are far away,
+ * witnesses fill up. Their number grows with the groups, not with the hosts.
  */
 export function chooseLinks(
   self: HostEntry,
@@ -42,10 +43,20 @@
   candidates: readonly HostId[],
   ownerships: readonly Ownership[],
 ): readonly HostId[] {
-  const needed = ownerships.flatMap(({owner, deputies}) =>
-    owner.host === self.host ? deputies.map(({host}) => host) : [owner.host],
-  );
-  return [...new Set([...needed, ...witnesses, ...candidates])].filter(
-    host => host !== self.host,
-  );
+  const needed = new Set(candidates);
+  for (const {owner, deputies} of ownerships) {
+    const members = [owner, ...deputies].map(({host}) => host);
+    needed.add(owner.host);
+    if (members.includes(self.host)) {
+      members.forEach(host => needed.add(host));
+    }
+  }
+  const known = witnesses.filter(host => needed.has(host)).length;
+  const missing = Math.max(0, FAR_LINKS - known);
+  witnesses
+    .filter(host => !needed.has(host))
+    .slice(0, missing)
+    .forEach(host => needed.add(host));
+  needed.delete(self.host);
+  return [...needed];
 }
--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -3,7 +3,7 @@
 import type {GroupId, HostId} from '@lacewingroad/core';
 import {waitUntil} from '@lacewingroad/runtime';
 import type {Instant, Unregister} from '@lacewingroad/runtime';
-import {chooseLinks, chooseWitnesses, listFarHosts} from './decisions/links.js';
+import {chooseLinks, listFarHosts, orderWitnesses} from './decisions/links.js';
 import {reachesTooFew} from './decisions/reach.js';
 import {createEntry} from './entry/entry.js';
 import type {Entry} from './entry/entry.js';
@@ -26,6 +26,9 @@
 const HANDOVER_POLL_MS = 20;
 /** Interval at which connections to other hosts are kept up, in ms. */
 const LINK_INTERVAL_MS = 500;
+/** Rounds after which hosts that are connected are greeted again: every 2 s,
+ * before the connection counts as quiet. */
+const GREETING_ROUNDS = 4;
 /** Time without a link to another data centre before a host is cut off, ms. */
 const CUT_OFF_MS = 1_200;
 
@@ -147,7 +150,6 @@
     ports: {...ports, send},
     readGroups: () => [...(table?.groups.keys() ?? [])],
     readHosts: () => hosts,
-    isLinked,
     isReachable: host => isLinked(host) && !leaving.has(host),
     isListComplete: () => isListComplete,
     mayServe: () => !isCutOff(),
@@ -296,6 +298,7 @@
     }
   };
 
+  let linkRounds = 0;
   let isMoving = false;
   /** Moves one group to a host that is much better off, if there is one. */
   const moveGroup = (): void => {
@@ -323,7 +326,11 @@
       ownership.listCandidates(),
       ownership.listOwnerships(),
     );
-    links.forEach(host => send(host, {type: 'hello', isDraining}));
+    const isGreeting = linkRounds % GREETING_ROUNDS === 0;
+    linkRounds++;
+    links
+      .filter(host => isGreeting || !linked.has(host))
+      .forEach(host => send(host, {type: 'hello', isDraining}));
     closeWhileCutOff();
     moveGroup();
     unregisterLinks = runtime.at(runtime.now() + LINK_INTERVAL_MS, keepLinks);
@@ -381,7 +388,7 @@
     noteHosts: entries => {
       hosts = [self, ...entries.filter(({host}) => host !== self.host)];
       far = listFarHosts(self, hosts);
-      witnesses = chooseWitnesses(self, far);
+      witnesses = orderWitnesses(self, far);
       entries.forEach(({host, address}) => addresses.set(host, address));
     },
     noteOwnerships: (stored, isComplete) => {
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -95,8 +95,6 @@
   readonly ports: Pick<HostPorts, 'runtime' | 'record' | 'send' | 'store'>;
   readonly readGroups: () => readonly GroupId[];
   readonly readHosts: () => readonly HostEntry[];
-  /** Tells whether a connection to a host stands. */
-  readonly isLinked: (host: HostId) => boolean;
   /** Tells whether a host can be reached and does not stop. */
   readonly isReachable: (host: HostId) => boolean;
   /** Tells whether the store's list of records is complete. */
@@ -537,9 +535,9 @@
     group: GroupId,
     {ownership, revision}: StoredOwnership,
   ): void => {
-    listDeputies(ownership)
-      .filter(cfg.isLinked)
-      .forEach(host => send(host, {type: 'consent_ask', group, revision}));
+    listDeputies(ownership).forEach(host =>
+      send(host, {type: 'consent_ask', group, revision}),
+    );
   };
 
   /** Returns when this host may create a record that does not exist. */
