--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -46,6 +46,8 @@
     /** Hosts that the store turns away. */
     readonly refuses: Set<string>;
     record: StoredOwnership | null;
+    /** Conditional writes that came too late. */
+    conflicts: number;
   };
   /** Hosts that watch the list of endpoints. */
   readonly watching: ReadonlySet<string>;
@@ -65,7 +67,7 @@
   readonly write: (name: string) => Promise<CallerReply | null>;
 }
 
-const TABLE: RouteTable = {
+export const TABLE: RouteTable = {
   version: 1,
   routes: new Map([
     [
@@ -101,6 +103,7 @@
     isMute: false,
     refuses: new Set(),
     record: null,
+    conflicts: 0,
   };
   let revision = 100;
   let nextCaller = 1;
@@ -241,6 +244,7 @@
           write: async (ownership, base): Promise<WriteResult> => {
             const result = await afterStore(name, (): WriteResult => {
               if ((store.record?.revision ?? null) !== base) {
+                store.conflicts++;
                 return {type: 'conflict', standing: store.record};
               }
               store.record = {ownership, revision: ++revision};
--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -19,6 +19,9 @@
 let results: Map<string, RunResult>;
 let isLeaseValid: boolean;
 let events: string[];
+/** Endpoints whose entries the list lacks. */
+let unlisted: Set<string>;
+let isListCurrent: boolean;
 let next: number;
 
 /** Lets virtual time and the microtasks of each step pass. */
@@ -58,8 +61,10 @@
         txIdleMs: 3_000,
       }),
       readEndpoints: () => ({
-        entries: group.readEntries(),
-        readAt: runtime.now(),
+        entries: new Map(
+          [...group.readEntries()].filter(([id]) => !unlisted.has(id)),
+        ),
+        readAt: isListCurrent ? runtime.now() : 0,
       }),
     },
     readFakeStatus,
@@ -111,6 +116,8 @@
   results = new Map();
   isLeaseValid = true;
   events = [];
+  unlisted = new Set();
+  isListCurrent = true;
   next = 1;
   pool = openPool();
   await passTime(300);
@@ -418,6 +425,34 @@
     expect(results.get(late)).toMatchObject({type: 'refused'});
   });
 
+  it('keeps using an endpoint whose entry lapsed for a moment', async () => {
+    unlisted.add('ledger-1');
+    await passTime(2_000);
+    const write = send({statement: WRITE});
+    await passTime(50);
+    expect(results.get(write)?.type).toBe('done');
+    unlisted.delete('ledger-1');
+    await passTime(4_000);
+    expect(events).not.toContain('endpoint_gone');
+  });
+
+  it('keeps using it while no current list says that it is gone', async () => {
+    unlisted.add('ledger-1');
+    isListCurrent = false;
+    await passTime(10_000);
+    const write = send({statement: WRITE});
+    await passTime(50);
+    expect(ranAt(write)).toEqual(['ledger-1']);
+    expect(events).not.toContain('endpoint_gone');
+  });
+
+  it('forgets an endpoint whose entry stays away', async () => {
+    unlisted.add('ledger-3');
+    await passTime(4_000);
+    expect(events).toContain('endpoint_gone');
+    expect(group.get('ledger-3').conns).toBe(0);
+  });
+
   it('replaces a primary that is leaving once its transactions ended', async () => {
     const begun = send({tx: firstOf('t1'), statement: WRITE});
     await passTime(40);
--- a/packages/pooler/src/__tests__/unit/ownership.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership.test.ts
@@ -1,7 +1,7 @@
 /** Who owns a group's pool, over the loss of hosts, links and the store. */
 
 import {beforeEach, describe, expect, it} from 'vitest';
-import {createFleet, GROUP} from '../fake_fleet.js';
+import {createFleet, DATABASE, GROUP, TABLE} from '../fake_fleet.js';
 import type {Fleet} from '../fake_fleet.js';
 
 const CENTRES = ['lima-a', 'lima-b', 'lima-c'];
@@ -70,8 +70,10 @@
     fleet.store.isMute = true;
     // Two renewals pass that deputies learn of from the owner alone.
     await fleet.passTime(11_000);
+    const before = fleet.store.conflicts;
     fleet.kill(owner);
     const gap = await watchActing(LONGEST_GAP_MS);
+    expect(fleet.store.conflicts).toBe(before);
     expect(gap).toBeLessThan(LONGEST_GAP_MS);
     expect(readOwner()).not.toBe(owner);
     for (const name of fleet.hosts.keys()) {
@@ -245,3 +247,17 @@
     expect(fleet.get(name).host.isReady()).toBe(true);
   });
 });
+
+describe('a table', () => {
+  it('is in force once it is told, and none before it comes back', () => {
+    const {host} = fleet.get('lima-a-1');
+    expect(host.entry.open(1, DATABASE)).toBe(true);
+    host.noteTable({...TABLE, version: 3, routes: new Map()});
+    expect(host.entry.open(2, DATABASE)).toBe(false);
+    host.noteTable({...TABLE, version: 2});
+    host.noteTable(TABLE);
+    expect(host.entry.open(3, DATABASE)).toBe(false);
+    host.noteTable({...TABLE, version: 4});
+    expect(host.entry.open(4, DATABASE)).toBe(true);
+  });
+});
