Move a group for the groups that its host owns, not for those it stands in for

After: the test, red before, sees no move among alike hosts; a small host with two groups still gives one away.

--- a/packages/pooler/src/__tests__/unit/decisions.test.ts
+++ b/packages/pooler/src/__tests__/unit/decisions.test.ts
@@ -390,6 +390,21 @@
     expect(findBetterHost('g1', small, [], both)).toBeNull();
   });
 
+  it('moves no group off a host that only stands in for another', () => {
+    const owner = host('a1');
+    const idle = host('b1');
+    const ownership = (group: string, at: HostEntry): Ownership => ({
+      group,
+      owner: at,
+      incarnation: '',
+      generation: 1,
+      deputies: [owner],
+      renewals: 0,
+    });
+    const known = [ownership('g1', owner), ownership('g2', host('c1'))];
+    expect(findBetterHost('g1', owner, [idle], known)).toBeNull();
+  });
+
   it('spreads groups over hosts that start together', () => {
     const assigned = assignGroups(['g1', 'g2', 'g3'], hosts);
     expect(new Set(assigned.values()).size).toBe(3);
--- a/packages/pooler/src/decisions/owner_choice.ts
+++ b/packages/pooler/src/decisions/owner_choice.ts
@@ -7,10 +7,14 @@
 /** Deputies of an owner: the loss of one of three leaves enough for either. */
 const DEPUTY_COUNT = 3;
 
-/** Counts the groups that hosts own, and half for those they stand in for. */
+/** Load of a group that a host stands in for: it may come to own it. */
+const DEPUTY_LOAD = 0.5;
+
+/** Counts the groups that hosts own, and a part of those they stand in for. */
 function readLoads(
   ownerships: Iterable<Ownership>,
   except: GroupId,
+  deputyLoad: number,
 ): ReadonlyMap<HostId, number> {
   const loads = new Map<HostId, number>();
   const add = (host: HostId, share: number): void => {
@@ -19,7 +23,7 @@
   for (const {group, owner, deputies} of ownerships) {
     if (group !== except) {
       add(owner.host, 1);
-      deputies.forEach(({host}) => add(host, 0.5));
+      deputies.forEach(({host}) => add(host, deputyLoad));
     }
   }
   return loads;
@@ -30,8 +34,9 @@
   group: GroupId,
   hosts: readonly HostEntry[],
   ownerships: Iterable<Ownership>,
+  deputyLoad: number,
 ): ReadonlyMap<HostId, number> {
-  const loads = readLoads(ownerships, group);
+  const loads = readLoads(ownerships, group, deputyLoad);
   return new Map(
     hosts.map(({host, cpuShare}) => [
       host,
@@ -49,7 +54,7 @@
   hosts: readonly HostEntry[],
   ownerships: Iterable<Ownership>,
 ): readonly HostEntry[] {
-  const costs = readCosts(group, hosts, ownerships);
+  const costs = readCosts(group, hosts, ownerships, DEPUTY_LOAD);
   const byId = new Map(hosts.map(entry => [entry.host, entry]));
   const ranked = orderByRendezvous(group, [...byId.keys()]);
   return ranked
@@ -78,7 +83,8 @@
 ): HostEntry | null {
   const hosts = [owner, ...reachable.filter(({host}) => host !== owner.host)];
   const [best] = orderHosts(group, hosts, ownerships);
-  const costs = readCosts(group, hosts, ownerships);
+  // Standing in for others is no load that a move would take off.
+  const costs = readCosts(group, hosts, ownerships, 0);
   const gain = costs.get(owner.host)! / costs.get(best!.host)!;
   return gain >= MOVE_FACTOR ? best! : null;
 }
