--- a/packages/pooler/src/__tests__/unit/decisions.test.ts
+++ b/packages/pooler/src/__tests__/unit/decisions.test.ts
@@ -405,6 +405,22 @@
     expect(findBetterHost('g1', owner, [idle], known)).toBeNull();
   });
 
+  it('takes large hosts that own a group as deputies before small idle ones', () => {
+    const large = ['a1', 'b1', 'c1', 'd1'].map(name => host(name, 1.35));
+    const small = ['a2', 'b2', 'c2', 'd2'].map(name => host(name, 0.324));
+    const known = large.map((owner, n): Ownership => ({
+      group: `g${n}`,
+      owner,
+      incarnation: '',
+      generation: 1,
+      deputies: large.filter(other => other !== owner),
+      renewals: 0,
+    }));
+    const all = [...small, ...large];
+    const deputies = chooseDeputies('g0', large[0]!, all, known);
+    expect(deputies.map(({cpuShare}) => cpuShare)).toEqual([1.35, 1.35, 1.35]);
+  });
+
   it('spreads groups over hosts that start together', () => {
     const assigned = assignGroups(['g1', 'g2', 'g3'], hosts);
     expect(new Set(assigned.values()).size).toBe(3);
--- a/packages/pooler/src/decisions/owner_choice.ts
+++ b/packages/pooler/src/decisions/owner_choice.ts
@@ -7,8 +7,11 @@
 /** Deputies of an owner: the loss of one of three leaves enough for either. */
 const DEPUTY_COUNT = 3;
 
-/** Load of a group that a host stands in for: it may come to own it. */
-const DEPUTY_LOAD = 0.5;
+/**
+ * Load of a group that a host stands in for, in owned groups: spreads deputies
+ * over hosts alike, and leaves a large host that owns a group before a small one.
+ */
+const DEPUTY_LOAD = 0.25;
 
 /** Counts the groups that hosts own, and a part of those they stand in for. */
 function readLoads(
@@ -29,7 +32,7 @@
   return loads;
 }
 
-/** Returns what a group would be in load for each host's processor. */
+/** Returns each host's load with the group, in groups for a processor core. */
 function readCosts(
   group: GroupId,
   hosts: readonly HostEntry[],
@@ -40,7 +43,7 @@
   return new Map(
     hosts.map(({host, cpuShare}) => [
       host,
-      ((loads.get(host) ?? 0) + 0.5) / Math.max(0.1, cpuShare),
+      ((loads.get(host) ?? 0) + 1) / Math.max(0.1, cpuShare),
     ]),
   );
 }
