--- a/packages/pooler/src/model/result.ts
+++ b/packages/pooler/src/model/result.ts
@@ -8,9 +8,7 @@
   | 'too_late'
   | 'queue_full'
   | 'no_endpoint'
-  | 'lagging'
   | 'tx_gone'
-  | 'draining'
   | 'no_owner';
 
 /** Why nobody can tell what became of a statement. */
--- a/packages/telemetry/src/__tests__/unit/explain.test.ts
+++ b/packages/telemetry/src/__tests__/unit/explain.test.ts
@@ -43,3 +43,34 @@
     expect(explainRequest(EVENTS, 'b-1.x.11')).toBeNull();
   });
 });
+
+/** Lines of a day on the users' bench around a write that was refused. */
+const POOL_LINES = `
+stamp=1784122624300.000001 level=debug host=b-1 seq=6 event=request_sent request=b-1-x-7 caller_request=a252ad60 group=g1 owner=d-1 attempt=1 table_version=22 left_ms=800
+stamp=1784122624302.000001 level=debug host=d-1 seq=3 event=job_started request=b-1-x-7 caller_request=a252ad60 group=g1 endpoint=g1-a attempt=1 tx=null rank="1" consistency=session min_term=1 min_index=181 primary=g1-a term=1 waited_ms=2 left_ms=798 generation=4
+stamp=1784122625100.000002 level=info host=d-1 seq=4 event=job_ended request=b-1-x-7 caller_request=a252ad60 group=g1 endpoint=null tx=null outcome=refused reason=too_late attempts=1 took_ms=798 left_ms=2 generation=4
+stamp=1784122625101.000000 level=info host=b-1 seq=7 event=request_not_run request=b-1-x-7 caller_request=a252ad60 service=g1 kind=shop rank="1" outcome=not_run reason=too_late tx=null owner=d-1 attempts=1 table_version=22 latency_ms=801 is_in_time=false
+stamp=1784122625102.000000 level=info host=b-1 seq=8 event=request_not_run request=b-1-x-8 caller_request=a252ad61 service=g1 kind=shop rank="1" outcome=not_run reason=no_owner tx=null owner=null attempts=0 table_version=22 latency_ms=0 is_in_time=false`;
+
+describe('explainRequest of a pool with one owner', () => {
+  const events = POOL_LINES.split('\n')
+    .map(parseEventLine)
+    .filter((event): event is TimelineEvent => event !== null);
+
+  it('tells where it went, what it needed, and how it ended', () => {
+    const {story, remedy} = explainRequest(events, 'b-1-x-7')!;
+    expect(story).toHaveLength(4);
+    expect(story[0]).toContain('d-1, which owns the pool of g1');
+    expect(story[1]).toContain('index 181 of term 1');
+    expect(story[1]).toContain('owner of generation 4');
+    expect(story[2]).toContain('while it waited for a slot after 798 ms');
+    expect(story[3]).toContain('version 22 of the table');
+    expect(remedy).toContain('a longer timeout');
+  });
+
+  it('names the owner that was missing as the cause', () => {
+    const {story, remedy} = explainRequest(events, 'b-1-x-8')!;
+    expect(story[0]).toContain('with no owner in reach');
+    expect(remedy).toContain('owner_changed');
+  });
+});
--- a/packages/telemetry/src/explain.ts
+++ b/packages/telemetry/src/explain.ts
@@ -7,6 +7,7 @@
   UnknownReason,
 } from '@lacewingroad/core';
 import type {TimelineEvent} from './event_line.js';
+import {POOL_REMEDIES, POOL_SENTENCES, show} from './explain_pool.js';
 import {mergeTimeline} from './timeline.js';
 
 type Fields = Readonly<Record<string, FieldValue>>;
@@ -27,11 +28,6 @@
   readonly remedy: string;
 }
 
-/** Returns a field as text; what the log does not hold is said so. */
-function show(fields: Fields, key: string): string {
-  return fields[key] == null ? 'not known' : String(fields[key]);
-}
-
 /** Tells how current the view of a host was. */
 function showView(fields: Fields): string {
   return fields['view_age_ms'] == null
@@ -162,9 +158,11 @@
 
 /** Tells one event of the request. */
 function tellStep(event: TimelineEvent): string {
-  const tell = SENTENCES[event.event];
+  const {fields} = event;
   const what =
-    tell === undefined ? `recorded ${event.event}.` : tell(event.fields);
+    POOL_SENTENCES[event.event]?.(fields) ??
+    SENTENCES[event.event]?.(fields) ??
+    `recorded ${event.event}.`;
   return `${event.stamp} ${event.host} ${what}`;
 }
 
@@ -226,7 +224,8 @@
     return '';
   }
   const remedies = own
-    .map(({fields}) => find(REMEDIES, String(fields['reason'])))
+    .map(({fields}) => String(fields['reason']))
+    .map(reason => find(REMEDIES, reason) ?? find(POOL_REMEDIES, reason))
     .filter(remedy => remedy !== null);
   return remedies.at(-1) ?? '';
 }
