A deputy that starts again keeps the promises that it may have given before

Found by reading the diff: consent looked at the promises that this start of the process had given. A deputy that was killed and came back within its promise of 1.2 s consented at once to a takeover, while the owner still acted on that promise. Ruled out: grants; those were refused already until the record had changed (firstRevision). Now a process counts as having promised until 1.25 s after its start.

--- a/packages/pooler/src/__tests__/unit/ownership.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership.test.ts
@@ -146,6 +146,19 @@
     expect(await watchActing(6_000)).toBe(0);
   });
 
+  it('is not taken from its owner by a deputy that forgot its promise', async () => {
+    const {deputies} = fleet.store.record!.ownership;
+    const [first, second] = deputies.map(({host}) => host);
+    // The owner can neither renew nor replace a deputy: it rests on the others.
+    fleet.store.refuses.add(owner);
+    fleet.cuts.add([owner, second!].sort().join('~'));
+    await watchActing(2_500);
+    expect(fleet.findActing()).toEqual([owner]);
+    fleet.kill(first!);
+    fleet.start(first!);
+    await watchActing(4_000);
+  });
+
   it('is taken over although a deputy cannot reach the store', async () => {
     const [first] = fleet.store.record!.ownership.deputies;
     fleet.store.refuses.add(first!.host);
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -138,12 +138,15 @@
   readonly close: () => void;
 }
 
-function createRecordState(group: GroupId): RecordState {
+function createRecordState(
+  group: GroupId,
+  promisedUntil: Instant,
+): RecordState {
   return {
     group,
     stored: null,
     seenAt: -Infinity,
-    promisedUntil: -Infinity,
+    promisedUntil,
     consentedTo: -Infinity,
     consents: new Set(),
     lease: null,
@@ -185,7 +188,12 @@
     if (known !== undefined) {
       return known;
     }
-    const created = createRecordState(group);
+    // What an earlier start of this process promised is not known here: it may
+    // have been the last thing that it did.
+    const created = createRecordState(
+      group,
+      startedAt + PROMISE_MS + DRIFT_MARGIN_MS,
+    );
     records.put(group, created);
     return created;
   };
