Say once what stood twice: effects of statements, rankings, look-ups, lists of endpoints

Read again after the landing; behaviour stays as it is. - isCommitting and isRepeatable stood at the entry, at the pool and, inline, in the change of primary; whether a job reads, twice in the scheduler.

--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -29,6 +29,8 @@
   const end = runtime.now() + ms;
   while (runtime.now() < end) {
     runtime.runUntil(Math.min(end, runtime.now() + 1));
+    // As the host does with each list that it reads.
+    pool.noteEndpoints();
     await Promise.resolve();
     await Promise.resolve();
     await Promise.resolve();
--- a/packages/pooler/src/decisions/links.ts
+++ b/packages/pooler/src/decisions/links.ts
@@ -2,6 +2,7 @@
 
 import {orderByRendezvous} from '@lacewingroad/core';
 import type {HostId} from '@lacewingroad/core';
+import {listMembers} from '../model/ownership.js';
 import type {HostEntry, Ownership} from '../model/ownership.js';
 
 /** Connections to far hosts at least: enough to tell a cut from their loss. */
@@ -44,9 +45,9 @@
   ownerships: readonly Ownership[],
 ): readonly HostId[] {
   const needed = new Set(candidates);
-  for (const {owner, deputies} of ownerships) {
-    const members = [owner, ...deputies].map(({host}) => host);
-    needed.add(owner.host);
+  for (const ownership of ownerships) {
+    const members = listMembers(ownership).map(({host}) => host);
+    needed.add(ownership.owner.host);
     if (members.includes(self.host)) {
       members.forEach(host => needed.add(host));
     }
--- a/packages/pooler/src/decisions/owner_choice.ts
+++ b/packages/pooler/src/decisions/owner_choice.ts
@@ -85,11 +85,16 @@
   ownerships: readonly Ownership[],
 ): HostEntry | null {
   const hosts = [owner, ...reachable.filter(({host}) => host !== owner.host)];
-  const [best] = orderHosts(group, hosts, ownerships);
   // Standing in for others is no load that a move would take off.
   const costs = readCosts(group, hosts, ownerships, 0);
-  const gain = costs.get(owner.host)! / costs.get(best!.host)!;
-  return gain >= MOVE_FACTOR ? best! : null;
+  const isBetter = ({host}: HostEntry): boolean =>
+    costs.get(owner.host)! / costs.get(host)! >= MOVE_FACTOR;
+  if (!hosts.some(isBetter)) {
+    // Ordering costs a hash of every host: none while all is well.
+    return null;
+  }
+  const [best] = orderHosts(group, hosts, ownerships);
+  return isBetter(best!) ? best! : null;
 }
 
 /**
--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -2,6 +2,7 @@
 
 import type {GroupId, HostId, LogPosition} from '@lacewingroad/core';
 import type {Instant, Unregister} from '@lacewingroad/runtime';
+import {isCommitting, isRepeatable} from '../decisions/effects.js';
 import {latestOf} from '../decisions/positions.js';
 import {findWaitEnd} from '../decisions/reach.js';
 import type {Route, RouteTable} from '../model/directory.js';
@@ -110,20 +111,6 @@
   readonly countCallers: () => number;
 }
 
-/** Tells whether a statement leaves nothing behind, so that it may be rerun. */
-function isRepeatable({statement, tx}: Request): boolean {
-  return (
-    tx === null && statement.type !== 'commit' && statement.access === 'read'
-  );
-}
-
-/** Tells whether a statement may take effect for good. */
-function isCommitting({statement, tx}: Request): boolean {
-  return (
-    statement.type === 'commit' || (tx === null && statement.access === 'write')
-  );
-}
-
 const FAULT_TEXTS: Readonly<Record<string, string>> = {
   no_database: 'no such database; check its name',
   bad_request: 'not possible in this state; end the transaction first',
--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -9,6 +9,7 @@
 import type {Entry} from './entry/entry.js';
 import type {EndpointList, RouteTable} from './model/directory.js';
 import type {PoolMessage} from './model/message.js';
+import {listMembers} from './model/ownership.js';
 import type {
   HostAddress,
   HostEntry,
@@ -154,7 +155,6 @@
     isListComplete: () => isListComplete,
     mayServe: () => !isCutOff(),
     onGained: group => {
-      reviewEndpointWatch();
       pools.get(group)?.close();
       pools.set(group, openPool(group));
       setOwner(group, self.host, ownership.readGeneration(group));
@@ -163,12 +163,13 @@
       pools.get(group)?.close();
       pools.delete(group);
     },
-    onOwner: ({group, owner, generation, incarnation: claimedBy, deputies}) => {
-      [owner, ...deputies].forEach(({host, address}) =>
+    onOwner: known => {
+      const {group, owner, generation} = known;
+      listMembers(known).forEach(({host, address}) =>
         addresses.set(host, address),
       );
       const isOwn = owner.host === self.host;
-      if (!isOwn || claimedBy === incarnation) {
+      if (!isOwn || known.incarnation === incarnation) {
         setOwner(group, owner.host, generation);
       }
       reviewEndpointWatch();
--- a/packages/pooler/src/model/ownership.ts
+++ b/packages/pooler/src/model/ownership.ts
@@ -30,6 +30,14 @@
   readonly renewals: number;
 }
 
+/** Returns the owner and its deputies. */
+export function listMembers({
+  owner,
+  deputies,
+}: Ownership): readonly HostAddress[] {
+  return [owner, ...deputies];
+}
+
 /** A record with the revision at which it stands. */
 export interface StoredOwnership {
   readonly ownership: Ownership;
--- a/packages/pooler/src/owner/connections.ts
+++ b/packages/pooler/src/owner/connections.ts
@@ -110,8 +110,8 @@
         noteDown(pool, entry.id, detail);
         return;
       }
-      const job = conn.request === null ? null : pool.jobs.get(conn.request);
-      if (typeof job?.sentAt === 'number') {
+      const sentAt = pool.jobs.get(conn.request ?? '')?.sentAt ?? null;
+      if (sentAt !== null) {
         noteRun(pool, entry.id, true);
       }
       dropConn(pool, conn, detail, onLost);
--- a/packages/pooler/src/owner/group_pool.ts
+++ b/packages/pooler/src/owner/group_pool.ts
@@ -27,8 +27,8 @@
 import {createEndpointState, createPool} from './state.js';
 import type {Job, Pool, PoolConfig} from './state.js';
 import {createStatusProbes} from './status.js';
-import {readLeastTimeMs} from './views.js';
 import type {ReadStatus} from './status.js';
+import {readLeastTimeMs} from './views.js';
 
 /** The pool of a group. */
 export interface GroupPool {
@@ -182,7 +182,6 @@
   };
 
   const tick = (): void => {
-    noteEndpoints(pool);
     dropMissing(pool);
     reviewJobs(pool);
     reviewTxs(pool);
@@ -201,6 +200,8 @@
       arm();
     });
   };
+  // From here on the host tells of each list that it reads.
+  noteEndpoints(pool);
   tick();
   arm();
 
--- a/packages/pooler/src/owner/jobs.ts
+++ b/packages/pooler/src/owner/jobs.ts
@@ -1,7 +1,7 @@
 /** Runs statements on connections, and tells what became of them. */
 
 import type {EndpointId, LogPosition} from '@lacewingroad/core';
-import type {RunMessage} from '../model/message.js';
+import {isCommitting, isRepeatable} from '../decisions/effects.js';
 import {refused, unknown} from '../model/result.js';
 import type {RunResult} from '../model/result.js';
 import type {
@@ -19,25 +19,6 @@
 type ErrorReply = Extract<EndpointReply, {type: 'error'}>;
 type DoneReply = Extract<EndpointReply, {type: 'done'}>;
 
-/** Tells whether a statement may change data. */
-export function isWrite(msg: RunMessage): boolean {
-  const {statement} = msg;
-  return statement.type !== 'commit' && statement.access === 'write';
-}
-
-/**
- * Tells whether a statement may take effect for good: once it was sent and its
- * answer is missing, its outcome is unknown.
- */
-function isCommitting(msg: RunMessage): boolean {
-  return msg.statement.type === 'commit' || (isWrite(msg) && msg.tx === null);
-}
-
-/** Tells whether a statement may be run again: it leaves nothing behind. */
-function isRepeatable(msg: RunMessage): boolean {
-  return msg.tx === null && !isWrite(msg);
-}
-
 /** Ends a job and tells the host that asked. */
 export function endJob(pool: Pool, job: Job, result: RunResult): void {
   if (!pool.jobs.remove(job.msg.request)) {
@@ -285,11 +266,10 @@
       return;
     }
     pool.jobs.update(request, {sentAt: pool.now()});
-    const isRead = !isCommitting(msg) && !isWrite(msg) && tx === null;
     conn.link.send(
       toCommand(msg),
       msg.callerRequest,
-      isRead ? required : null,
+      isRepeatable(msg) ? required : null,
       reply => handleReply(pool, request, conn.id, reply),
     );
   };
@@ -377,8 +357,7 @@
   }
   if (command.type === 'begin' && reply.state === 'idle') {
     // The last of the steps: all others took effect, and nothing is open.
-    pool.conns.update(connId, {tx: null});
-    releaseConn(pool, pool.conns.get(connId)!);
+    releaseTx(pool, conn);
     return;
   }
   pool.conns.update(connId, {request: null});
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -2,6 +2,7 @@
 
 import {chooseCandidate} from '../decisions/candidate.js';
 import type {Candidate} from '../decisions/candidate.js';
+import {isCommitting} from '../decisions/effects.js';
 import {isFailing} from '../decisions/fault_level.js';
 import {readAcked} from './acks.js';
 import {closeTx} from './jobs.js';
@@ -23,18 +24,16 @@
   const now = pool.now();
   const {primary} = pool.read();
   const wroteAt = pool.endpoints.get(primary?.endpoint ?? '')?.wroteAt ?? null;
-  return pool.jobs.list().some(({msg, sentAt, endpoint}) => {
-    const isCommit =
-      msg.statement.type === 'commit' ||
-      (msg.tx === null && msg.statement.access === 'write');
-    return (
-      isCommit &&
-      endpoint === primary?.endpoint &&
-      sentAt !== null &&
-      now - sentAt >= WRITES_STUCK_MS &&
-      (wroteAt === null || wroteAt < sentAt)
+  return pool.jobs
+    .list()
+    .some(
+      ({msg, sentAt, endpoint}) =>
+        isCommitting(msg) &&
+        endpoint === primary?.endpoint &&
+        sentAt !== null &&
+        now - sentAt >= WRITES_STUCK_MS &&
+        (wroteAt === null || wroteAt < sentAt),
     );
-  });
 }
 
 /**
--- a/packages/pooler/src/owner/scheduler.ts
+++ b/packages/pooler/src/owner/scheduler.ts
@@ -1,10 +1,11 @@
 /** Gives slots and connections to the statements that wait. */
 
+import {isReading} from '../decisions/effects.js';
 import {chooseForRead} from '../decisions/placement.js';
 import {notePassedOver, orderJobs} from '../decisions/queue_order.js';
 import {readAcked, readNeed} from './acks.js';
 import {findFreeConn, readConnLimit, readSlotLimit} from './connections.js';
-import {endJob, isWrite, runJob} from './jobs.js';
+import {endJob, runJob} from './jobs.js';
 import {refused} from '../model/result.js';
 import type {Conn, Job, Pool} from './state.js';
 import {readLeastTimeMs, readViews} from './views.js';
@@ -80,8 +81,7 @@
   if (tx !== null && !tx.isFirst) {
     return placeInTx(pool, job, views);
   }
-  const isReading = tx === null ? !isWrite(job.msg) : tx.readOnly;
-  return isReading
+  return isReading(job.msg)
     ? placeRead(pool, job, views)
     : placeAtPrimary(pool, job, views);
 }
@@ -95,8 +95,7 @@
   if (tx !== null && !tx.isFirst) {
     return null;
   }
-  const isReading = tx === null ? !isWrite(job.msg) : tx.readOnly;
-  if (!isReading) {
+  if (!isReading(job.msg)) {
     return tx === null ? 'primary' : 'primary_tx';
   }
   // A session's own commit may be newer than what the others wait for.
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -222,20 +222,23 @@
   const now = pool.now();
   const faults = noteOutcome(state.faults, isFault, now);
   const since = isFailing(faults, now) ? (state.failingSince ?? now) : null;
-  const {record} = pool.cfg.ports;
+  pool.endpoints.update(endpoint, {faults, failingSince: since});
+  const wasFailing = state.failingSince !== null;
+  if (wasFailing === (since !== null)) {
+    return;
+  }
+  const {group, ports} = pool.cfg;
   const fields = {
-    group: pool.cfg.group,
+    group,
     endpoint,
     fault_share: Math.round(faults.share * 100) / 100,
     is_primary: pool.read().primary?.endpoint === endpoint,
   };
-  if (since !== null && state.failingSince === null) {
-    record('warn', 'endpoint_failing', fields);
-  }
-  if (since === null && state.failingSince !== null) {
-    record('info', 'endpoint_well', fields);
+  if (wasFailing) {
+    ports.record('info', 'endpoint_well', fields);
+  } else {
+    ports.record('warn', 'endpoint_failing', fields);
   }
-  pool.endpoints.update(endpoint, {faults, failingSince: since});
 }
 
 /** Notes that an endpoint answered. */
--- a/packages/pooler/src/owner/status.ts
+++ b/packages/pooler/src/owner/status.ts
@@ -20,6 +20,7 @@
 import type {EndpointState, Pool, Primary} from './state.js';
 
 interface Prober {
+  readonly id: EndpointId;
   readonly link: EndpointConn | null;
   readonly isReady: boolean;
   /** When the unanswered probe, or the opening, began; null for none. */
@@ -141,6 +142,7 @@
   const giveUp = (id: EndpointId, detail: string): void => {
     probers.get(id)?.link?.close();
     probers.put(id, {
+      id,
       link: null,
       isReady: false,
       askedAt: null,
@@ -161,7 +163,7 @@
       onClosed: detail => giveUp(id, detail),
     });
     const now = pool.now();
-    probers.put(id, {link, isReady: false, askedAt: now, lastAt: now});
+    probers.put(id, {id, link, isReady: false, askedAt: now, lastAt: now});
   };
 
   const ask = (id: EndpointId, prober: Prober): void => {
@@ -218,20 +220,14 @@
 
   const tick = (): void => {
     pool.endpoints.list().forEach(tickOne);
-    for (const id of closedEndpoints()) {
-      probers.get(id)?.link?.close();
-      probers.remove(id);
+    for (const {id, link} of probers.list()) {
+      if (pool.endpoints.get(id) === undefined) {
+        link?.close();
+        probers.remove(id);
+      }
     }
   };
 
-  const known = new Set<EndpointId>();
-  const closedEndpoints = (): readonly EndpointId[] => {
-    pool.endpoints.list().forEach(({entry}) => known.add(entry.id));
-    const gone = [...known].filter(id => pool.endpoints.get(id) === undefined);
-    gone.forEach(id => known.delete(id));
-    return gone;
-  };
-
   return {
     tick,
     close: () => probers.list().forEach(({link}) => link?.close()),
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -35,6 +35,7 @@
   WriteResult,
 } from '../model/ownership.js';
 import type {HostPorts} from '../ports.js';
+import {listMembers} from '../model/ownership.js';
 import {createRecords} from '../records.js';
 
 /** Interval at which deputies are asked, in ms: four times in a promise. */
@@ -221,13 +222,10 @@
     record('warn', 'clock_jumped', {change_ms: Math.round(changeMs)});
   };
 
-  const isValidState = ({lease}: RecordState, now: Instant): boolean =>
-    lease !== null && isLeaseValid(lease, now);
-
   const isValid = (group: GroupId): boolean => {
     checkSuspended();
-    const state = records.get(group);
-    return state !== undefined && isValidState(state, runtime.now());
+    const lease = records.get(group)?.lease ?? null;
+    return lease !== null && isLeaseValid(lease, runtime.now());
   };
 
   const setStored = (group: GroupId, stored: StoredOwnership): void => {
@@ -299,12 +297,17 @@
       .filter(({lease}) => lease !== null)
       .map(({group}) => group);
 
-  const pickDeputies = (group: GroupId): readonly HostAddress[] => {
-    const reachable = cfg.readHosts().filter(({host}) => cfg.isReachable(host));
-    return chooseDeputies(group, self, reachable, listOwnerships()).map(
+  const listReachable = (): readonly HostEntry[] =>
+    cfg.readHosts().filter(({host}) => cfg.isReachable(host));
+
+  /** Orders all hosts for a group, at the cost of a hash of each. */
+  const rankHosts = (group: GroupId): readonly HostId[] =>
+    orderHosts(group, cfg.readHosts(), listOwnerships()).map(({host}) => host);
+
+  const pickDeputies = (group: GroupId): readonly HostAddress[] =>
+    chooseDeputies(group, self, listReachable(), listOwnerships()).map(
       toAddress,
     );
-  };
 
   /** Writes a record and takes the result into account. */
   const write = async (
@@ -487,8 +490,7 @@
     if (place >= 0) {
       return place;
     }
-    const order = orderHosts(group, cfg.readHosts(), listOwnerships());
-    const own = order.findIndex(({host}) => host === self.host);
+    const own = rankHosts(group).indexOf(self.host);
     return deputies.length + Math.max(0, own);
   };
 
@@ -501,13 +503,13 @@
       }
       return;
     }
-    const {owner, deputies} = stored.ownership;
+    const {owner} = stored.ownership;
     if (owner.host === self.host) {
       // An earlier start of this process, which is over, or a handover to it.
       void claim(group);
       return;
     }
-    const isDeputy = deputies.some(({host}) => host === self.host);
+    const isDeputy = listDeputies(stored.ownership).includes(self.host);
     const isSuspect = isDeputy || !cfg.isReachable(owner.host);
     const first = {seenAt, promisedUntil, rank: 0};
     if (!isSuspect && now < readAbandonedAt(first)) {
@@ -553,10 +555,8 @@
     if (!cfg.isListComplete()) {
       return Infinity;
     }
-    const hosts = cfg.readHosts();
-    const assigned = assignGroups(cfg.readGroups(), hosts).get(group);
-    const order = orderHosts(group, hosts, listOwnerships());
-    const place = order.findIndex(({host}) => host === self.host);
+    const assigned = assignGroups(cfg.readGroups(), cfg.readHosts()).get(group);
+    const place = rankHosts(group).indexOf(self.host);
     const rank = assigned === self.host ? 0 : Math.max(0, place) + 1;
     return startedAt + BOOT_WAIT_MS + rank * CREATE_STAGGER_MS;
   };
@@ -648,20 +648,11 @@
     listOwnerships,
     readOwned,
     isInvolved: () =>
-      records.list().some(({stored, lease}) => {
-        const ownership = stored?.ownership;
-        return (
-          lease !== null ||
-          ownership?.owner.host === self.host ||
-          ownership?.deputies.some(({host}) => host === self.host) === true
-        );
-      }),
-    listCandidates: () =>
-      readOwned().flatMap(group =>
-        orderHosts(group, cfg.readHosts(), listOwnerships())
-          .slice(0, CANDIDATE_COUNT)
-          .map(({host}) => host),
+      listOwnerships().some(ownership =>
+        listMembers(ownership).some(({host}) => host === self.host),
       ),
+    listCandidates: () =>
+      readOwned().flatMap(group => rankHosts(group).slice(0, CANDIDATE_COUNT)),
     findBetterOwner: group => {
       const {lease, gainedAt, isWriting, isReleasing} = getState(group);
       const now = runtime.now();
@@ -673,9 +664,7 @@
       if (!isSettled || isWriting || isReleasing) {
         return null;
       }
-      const reachable = cfg
-        .readHosts()
-        .filter(({host}) => cfg.isReachable(host));
+      const reachable = listReachable();
       const better = findBetterHost(group, self, reachable, listOwnerships());
       return better === null ? null : toAddress(better);
     },
--- a/packages/telemetry/src/explain.ts
+++ b/packages/telemetry/src/explain.ts
@@ -7,11 +7,11 @@
   UnknownReason,
 } from '@lacewingroad/core';
 import type {TimelineEvent} from './event_line.js';
-import {POOL_REMEDIES, POOL_SENTENCES, show} from './explain_pool.js';
+import {show} from './explain_fields.js';
+import type {Fields} from './explain_fields.js';
+import {POOL_REMEDIES, POOL_SENTENCES} from './explain_pool.js';
 import {mergeTimeline} from './timeline.js';
 
-type Fields = Readonly<Record<string, FieldValue>>;
-
 /** Time around a request in which other events may explain it, in ms. */
 const CONTEXT_MS = 5_000;
 /** Other events that are told at most; the nearest in time go first. */
--- a/packages/telemetry/src/explain_pool.ts
+++ b/packages/telemetry/src/explain_pool.ts
@@ -1,13 +1,7 @@
 /** Sentences for the events of pools that one host owns: the users' platform. */
 
-import type {FieldValue} from '@lacewingroad/core';
-
-type Fields = Readonly<Record<string, FieldValue>>;
-
-/** Returns a field as text; what the log does not hold is said so. */
-export function show(fields: Fields, key: string): string {
-  return fields[key] == null ? 'not known' : String(fields[key]);
-}
+import {show} from './explain_fields.js';
+import type {Fields} from './explain_fields.js';
 
 /** Tells an event; null where it is not one of such a pool. */
 type TellPool = (fields: Fields) => string | null;
