--- a/review/4/case.test.mjs
+++ b/review/4/case.test.mjs
@@ -1,70 +1,68 @@
 /**
- * A client prepares two statements whose shapes begin alike. Checks that each
- * name runs the shape that was prepared under it.
+ * Another writer puts an entry for each service into the list of backends,
+ * whose address has no valid port. Checks that the processes keep running.
  */
 
 import {fileURLToPath} from 'node:url';
-import {runCase} from '../lib/case.mjs';
-import {openSession} from '../lib/session.mjs';
+import {SERVICE, ZONES, runCase} from '../lib/case.mjs';
+import {sleep} from '../lib/net.mjs';
+import {startClients} from '../lib/traffic.mjs';
 
 const FOLDER = fileURLToPath(new URL('.', import.meta.url));
-const SESSIONS = 4;
-const PAIRS = 10;
-/** Length of the part that both shapes share. */
-const LONG_PREFIX = 64;
-const SHORT_PREFIX = 16;
-
-/** The shape that each request runs by its name, by request id. */
-const preparedShapes = new Map();
-const faults = [];
+const SERVICES = [SERVICE, 'libro-2'];
+const CLIENTS = 6;
+const CALM_MS = 3_000;
+const WATCH_MS = 20_000;
+/** Ends of its own that make a process count. */
+const MAX_ENDS = 3;
+/** Hosts with that many ends that make the day count 0. */
+const MIN_HOSTS = 2;
 
 await runCase(
   FOLDER,
-  ({recorder}) => ({
-    onRun: ({id, statement}) => {
-      const wanted = preparedShapes.get(id);
-      if (wanted !== undefined && statement.shape !== wanted) {
-        recorder.add(
-          'CHECK',
-          `${id} ran ${statement.shape}, prepared was ${wanted}`,
-        );
-        faults.push(
-          `PINNED: ${id} ran the shape ${statement.shape} under a name that its client prepared as ${wanted}`,
-        );
-      }
-    },
-  }),
-  async ({hasTrouble, fleet, recorder}) => {
-    const length = hasTrouble ? LONG_PREFIX : SHORT_PREFIX;
+  () => ({}),
+  async ({hasTrouble, platform, fleet, recorder}) => {
     let nextId = 1;
-    for (let number = 0; number < SESSIONS; number++) {
-      const host = fleet.hosts[number % fleet.hosts.length];
-      const session = await openSession(host, 'avance', recorder);
-      for (let pair = 0; pair < PAIRS; pair++) {
-        const prefix = `q${number}_${pair}_`.padEnd(length, 'x');
-        for (const [name, shape] of [
-          ['s1', `${prefix}a`],
-          ['s2', `${prefix}b`],
-        ]) {
-          await session.ask(`p${nextId++}`, `PREPARE ${name} FETCH ${shape}`);
-        }
-        for (const [name, shape] of [
-          ['s1', `${prefix}a`],
-          ['s2', `${prefix}b`],
-        ]) {
-          const id = `e${nextId++}`;
-          preparedShapes.set(id, shape);
-          const {word, rows} = await session.ask(id, `EXECUTE ${name} item1`);
-          if (word === 'DONE' && !rows[0]?.startsWith(`${shape}/`)) {
-            recorder.add(
-              'CHECK',
-              `${id} got the rows of another shape: ${rows}`,
-            );
-          }
-        }
-      }
-      session.close();
+    const clients = startClients({
+      fleet,
+      recorder,
+      database: 'pago',
+      count: CLIENTS,
+      operate: async (session, number) => {
+        await session.ask(`w${nextId++}`, `PUT item${number} data`);
+        await sleep(50);
+      },
+    });
+    await sleep(CALM_MS);
+    if (hasTrouble) {
+      SERVICES.forEach((service, index) => {
+        const spec = {
+          Service: service,
+          Addr: '127.0.0.1:70000',
+          Zone: ZONES[0],
+          Version: '1',
+          Slots: 2,
+          State: 'ready',
+          ColdLeftMs: 0,
+          Seq: 1,
+          DbRole: 'replica',
+          born: 1,
+        };
+        recorder.add('ENTRY', `of another writer: ${JSON.stringify(spec)}`);
+        platform.put('servers', `i-other-writer-${index}`, spec);
+      });
     }
-    return faults;
+    await sleep(WATCH_MS);
+    await clients.stop();
+    const counts = fleet.hosts.map(({name, exits}) => [name, exits.length]);
+    const ended = counts.filter(([, count]) => count >= MAX_ENDS);
+    const listed = counts.map(pair => pair.join(': ')).join(', ');
+    recorder.add('CHECK', `ends of processes by themselves: ${listed}`);
+    return ended.length < MIN_HOSTS
+      ? []
+      : [
+          `FAULT: the processes of ${ended.length} hosts ended by themselves ${MAX_ENDS} times or more (${listed})`,
+        ];
   },
+  SERVICES,
 );
