--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -98,6 +98,7 @@
   const hasTrouble = process.env.TROUBLE !== '0';
   const closers = [];
   let code = COULD_NOT_RUN;
+  let hasFailed = false;
   const stopped = new Promise(resolve => {
     for (const signal of ['SIGTERM', 'SIGINT']) {
       process.once(signal, () => {
@@ -105,6 +106,14 @@
         resolve();
       });
     }
+    // An error of a stand-in is no fault of the system.
+    for (const event of ['uncaughtException', 'unhandledRejection']) {
+      process.once(event, err => {
+        hasFailed = true;
+        recorder.add('ERROR', String(err?.stack ?? err));
+        resolve();
+      });
+    }
   });
 
   const play = async () => {
@@ -154,7 +163,9 @@
     );
     const faults = await run({...context, database, fleet});
     faults.forEach(fault => recorder.add('BROKEN', fault));
-    code = faults.length === 0 ? HELD : BROKEN;
+    if (!hasFailed) {
+      code = faults.length === 0 ? HELD : BROKEN;
+    }
   };
 
   const limit = new Promise(resolve => {
