Log when a promotion call is sent, and how much of a lease a claim begins with

The log could not tell a lease that is longer than its record from a promotion call that was delivered late: it named the call (promotion_called) before the record was saved and the connection stood, and a claim without its times.

promotion_sent and promotion_held name the token, the time that the connection took and what was left of the lease at that instant; ownership_claimed names the base revision, whether this host is the owner after it (with outcome=conflict: by an earlier try), how long the write took and what is left of the lease.

--- a/packages/pooler/src/decisions/lease.ts
+++ b/packages/pooler/src/decisions/lease.ts
@@ -103,7 +103,7 @@
 }
 
 /** Returns the instant at which the lease expires. */
-function computeLeaseExpiry(lease: HeldLease): Instant {
+export function computeLeaseExpiry(lease: HeldLease): Instant {
   const {renewedAt} = lease;
   const byPromises = Math.min(
     renewedAt + ABANDONED_RECORD_MS,
--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -24,7 +24,8 @@
 import type {GroupPool} from './owner/group_pool.js';
 import type {ReadStatus} from './owner/status.js';
 import {createOwnershipController} from './ownership/ownership_controller.js';
-import type {HostPorts} from './ports.js';
+import {createPromotionGuard} from './ownership/promotion_guard.js';
+import type {HostPorts, Promote} from './ports.js';
 import {createTableFeed} from './table/table_feed.js';
 
 /** Time for open transactions to end before a group is handed over, in ms. */
@@ -230,13 +231,20 @@
     send(host, {type: 'hello', isDraining});
   };
 
+  const guardPromotions = (group: GroupId): Promote =>
+    createPromotionGuard({
+      runtime,
+      ports,
+      readLeaseExpiry: () => ownership.readLeaseExpiry(group),
+    });
+
   const openPool = (group: GroupId): GroupPool =>
     createGroupPool(
       {
         group,
         host: self.host,
         dataCentre: self.dataCentre,
-        ports: {...ports, send},
+        ports: {...ports, send, promote: guardPromotions(group)},
         isLeaseValid: () => ownership.hasValidLease(group),
         readGeneration: () => ownership.readGeneration(group),
         saveLineage: () => ownership.saveLineage(group),
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -5,6 +5,7 @@
 import type {Instant, Unregister} from '@lacewingroad/runtime';
 import {
   ABANDONED_RECORD_MS,
+  computeLeaseExpiry,
   countConsentsNeeded,
   subtractSuspendedTime,
   DRIFT_MARGIN_MS,
@@ -141,6 +142,8 @@
   readonly saveLineage: (group: GroupId) => Promise<void>;
   /** Returns whether this host may act as the owner of a group now. */
   readonly hasValidLease: (group: GroupId) => boolean;
+  /** Returns when the lease of a group expires; -Infinity without a lease. */
+  readonly readLeaseExpiry: (group: GroupId) => Instant;
   readonly readGeneration: (group: GroupId) => number;
   readonly readStored: (group: GroupId) => StoredOwnership | null;
   /** Returns all known records. */
@@ -265,6 +268,12 @@
     return lease !== null && isLeaseValid(lease, runtime.now());
   };
 
+  const readLeaseExpiry = (group: GroupId): Instant => {
+    detectSuspension();
+    const lease = records.get(group)?.lease ?? null;
+    return lease === null ? -Infinity : computeLeaseExpiry(lease);
+  };
+
   const setStored = (group: GroupId, stored: StoredOwnership): void => {
     const state = getState(group);
     const known = state.stored?.revision ?? -1;
@@ -391,18 +400,23 @@
     };
     const sentAt = runtime.now();
     const result = await write(ownership, base);
+    const current = getState(group).stored?.ownership;
+    const isOwner = current !== undefined && isOwnRecord(current);
+    if (isOwner) {
+      startOwnership(group, current, sentAt);
+    }
+    const now = runtime.now();
     record('info', 'ownership_claimed', {
       group,
       outcome: result.type,
       generation: ownership.generation,
       deputies: deputies.map(({host}) => host).join(),
       detail: 'detail' in result ? result.detail : null,
+      base: base?.revision ?? null,
+      is_owner: isOwner,
+      took_ms: Math.round(now - sentAt),
+      lease_left_ms: isOwner ? Math.round(readLeaseExpiry(group) - now) : null,
     });
-    const current = getState(group).stored?.ownership;
-    if (current === undefined || !isOwnRecord(current)) {
-      return;
-    }
-    startOwnership(group, current, sentAt);
   };
 
   /** Starts to act as the owner. */
@@ -755,6 +769,7 @@
       }
     },
     hasValidLease,
+    readLeaseExpiry,
     readGeneration: group => getState(group).stored?.ownership.generation ?? 0,
     readStored: group => getState(group).stored,
     listOwnerships,
