Count a lease from the first of the writes that may have made the record

Cause: a claim without an answer was repeated on the same base revision. The repetition met a conflict whose standing record was this host's own, made by the first try, and the lease was counted from the repetition. All other hosts count the age of the record from when it appeared. The same happened when the own record arrived through a watch and the next claim was refused by the store: a lease began from a write that had changed nothing.

The controller now remembers when the first write on the present base was sent that may have been executed, and counts the lease from there unless the answer says that this very write made the record.

Evidence: 'acts no longer than its record allows once a later claim is answered' and 'does not act because a later claim was refused' failed before with two active owners. The fake store can now execute calls without answering, execute them late, and let them fail at once or after the timeout.

--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -39,6 +39,22 @@
   heldEvents: (() => void)[];
 }
 
+/** What happens to the calls of a host at the store. */
+export interface StoreFault {
+  /** Share of the calls that are executed and not answered; 1 for all. */
+  readonly lostShare: number;
+  /** Time until a call arrives at the store, in ms. */
+  readonly delayMs: number;
+  /** Time until a call without an answer fails, in ms. */
+  readonly failMs: number;
+}
+
+const NO_STORE_FAULT: StoreFault = {
+  lostShare: 0,
+  delayMs: STORE_MS,
+  failMs: 900,
+};
+
 interface EndpointWatch {
   readonly name: string;
   readonly onList: (list: EndpointList) => void;
@@ -58,6 +74,7 @@
     isDown: boolean;
     /** Watches deliver nothing, as between two long polls. */
     isWatchSilent: boolean;
+    readonly faults: Map<string, StoreFault>;
     /** Hosts whose calls the store refuses. */
     readonly refusedHosts: Set<string>;
     record: StoredOwnership | null;
@@ -80,6 +97,8 @@
   readonly start: (name: string) => void;
   readonly kill: (name: string) => void;
   readonly cut: (name: string) => void;
+  /** Disturbs the calls of a host at the store. */
+  readonly disturbStore: (name: string, fault: Partial<StoreFault>) => void;
   /** Cuts two hosts off from each other. */
   readonly cutPair: (a: string, b: string) => void;
   /** Cuts a data centre off from the others and from the store. */
@@ -129,6 +148,7 @@
   const store: Fleet['store'] = {
     isDown: false,
     isWatchSilent: false,
+    faults: new Map(),
     refusedHosts: new Set(),
     record: null,
     table: TABLE,
@@ -186,13 +206,35 @@
   const canReachStore = (name: string): boolean =>
     !store.isDown && !store.refusedHosts.has(name) && !isCut(name, 'store');
 
-  const callStore = <T>(name: string, fn: () => T): Promise<T | null> =>
+  const readStoreFault = (name: string): StoreFault =>
+    store.faults.get(name) ?? NO_STORE_FAULT;
+
+  /** Calls the store; a call without an answer may be executed after it. */
+  const callStore = <T>(
+    name: string,
+    fn: () => T,
+  ): Promise<{readonly value: T} | 'refused' | 'no_answer'> =>
     new Promise(resolve => {
-      runtime.at(runtime.now() + STORE_MS, () => {
-        const result = canReachStore(name) ? fn() : null;
-        runtime.at(runtime.now() + (result === null ? 500 : STORE_MS), () =>
+      const {lostShare, delayMs, failMs} = readStoreFault(name);
+      const answer = (
+        afterMs: number,
+        result: {readonly value: T} | 'refused' | 'no_answer',
+      ): void => {
+        runtime.at(runtime.now() + afterMs, () =>
           deliver(name, () => resolve(result)),
         );
+      };
+      const isLost = lostShare > 0 && runtime.random() < lostShare;
+      answer(failMs, 'no_answer');
+      runtime.at(runtime.now() + delayMs, () => {
+        if (!canReachStore(name)) {
+          answer(500, 'refused');
+          return;
+        }
+        const value = fn();
+        if (!isLost) {
+          answer(STORE_MS, {value});
+        }
       });
     });
 
@@ -201,6 +243,7 @@
       runtime.at(runtime.now() + STORE_MS, () => {
         if (
           canReachStore(name) &&
+          readStoreFault(name).lostShare < 1 &&
           !store.isWatchSilent &&
           store.record !== null
         ) {
@@ -319,9 +362,10 @@
           return () => tableWatches.delete(watch);
         },
         store: {
-          read: async () =>
-            (await callStore(name, () => ({record: store.record})))?.record ??
-            undefined,
+          read: async () => {
+            const result = await callStore(name, () => store.record);
+            return typeof result === 'string' ? undefined : result.value;
+          },
           write: async (ownership, base): Promise<WriteResult> => {
             const result = await callStore(name, (): WriteResult => {
               if ((store.record?.revision ?? null) !== base) {
@@ -332,7 +376,12 @@
               notifyWatches();
               return {type: 'written', revision};
             });
-            return result ?? {type: 'refused', detail: 'store down'};
+            if (result === 'no_answer') {
+              return {type: 'unknown', detail: 'no answer'};
+            }
+            return result === 'refused'
+              ? {type: 'refused', detail: 'store down'}
+              : result.value;
           },
         },
       },
@@ -414,6 +463,9 @@
         .forEach(other => cutPairs.add(pairKey(name, other)));
       dropLinks(name, 1_000);
     },
+    disturbStore: (name, fault) => {
+      store.faults.set(name, {...NO_STORE_FAULT, ...fault});
+    },
     cutPair: (a, b) => {
       cutPairs.add(pairKey(a, b));
       dropLinks(a, 1_000);
--- a/packages/pooler/src/__tests__/unit/ownership.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership.test.ts
@@ -277,6 +277,40 @@
   });
 });
 
+describe('a host whose claim was executed and not answered', () => {
+  let claimant: string;
+
+  beforeEach(async () => {
+    claimant = fleet.store.record!.ownership.deputies[0]!.host;
+    fleet.disturbStore(claimant, {lostShare: 1, failMs: 5});
+    fleet.kill(owner);
+    while (readOwner() !== claimant) {
+      await fleet.passTime(10);
+    }
+  });
+
+  it('acts no longer than its record allows once a later claim is answered', async () => {
+    await measureOwnerGap(1_000);
+    fleet.store.faults.delete(claimant);
+    while (fleet.listActiveOwners().length === 0) {
+      await measureOwnerGap(10);
+    }
+    fleet.cut(claimant);
+    await measureOwnerGap(5_000);
+    expect(readOwner()).not.toBe(claimant);
+  });
+
+  it('does not act because a later claim was refused', async () => {
+    fleet.store.faults.delete(claimant);
+    fleet.store.refusedHosts.add(claimant);
+    await measureOwnerGap(1_000);
+    fleet.get(claimant).host.updateOwnerships([fleet.store.record!], false);
+    fleet.cut(claimant);
+    await measureOwnerGap(5_000);
+    expect(readOwner()).not.toBe(claimant);
+  });
+});
+
 describe('a host that cannot reach any other data centre', () => {
   it('reports not ready, and ready again once the links are back', async () => {
     const name = findOther(owner);
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -71,6 +71,14 @@
  */
 const SUSPENSION_THRESHOLD_MS = 60;
 
+/** The writes that may have replaced one revision of a record. */
+interface PendingWrites {
+  /** The revision that they replace; null if they create the record. */
+  readonly base: number | null;
+  /** Send time of the first of them. */
+  readonly firstSentAt: Instant;
+}
+
 /** What the controller knows about a group's record. */
 interface RecordState {
   readonly group: GroupId;
@@ -94,6 +102,8 @@
   readonly asks: ReadonlyMap<number, {host: HostId; sentAt: Instant}>;
   readonly writtenAt: Instant;
   readonly isWriting: boolean;
+  /** This host's last writes, if one of them may have been executed. */
+  readonly pendingWrites: PendingWrites | null;
   /** Hosts that were asked for promises before they become deputies. */
   readonly nextDeputies: readonly HostId[];
   readonly isReleasing: boolean;
@@ -182,11 +192,22 @@
     asks: new Map(),
     writtenAt: -Infinity,
     isWriting: false,
+    pendingWrites: null,
     nextDeputies: [],
     isReleasing: false,
   };
 }
 
+function addPendingWrite(
+  earlier: PendingWrites | null,
+  base: number | null,
+  sentAt: Instant,
+): PendingWrites {
+  return earlier !== null && earlier.base === base
+    ? earlier
+    : {base, firstSentAt: sentAt};
+}
+
 function listDeputies({deputies}: Ownership): readonly HostId[] {
   return deputies.map(({host}) => host);
 }
@@ -362,9 +383,18 @@
   ): Promise<WriteResult> => {
     const {group} = ownership;
     const sentAt = runtime.now();
-    records.update(group, {isWriting: true, writtenAt: sentAt});
+    const {pendingWrites: earlier} = getState(group);
+    const pendingWrites = addPendingWrite(
+      earlier,
+      base?.revision ?? null,
+      sentAt,
+    );
+    records.update(group, {isWriting: true, writtenAt: sentAt, pendingWrites});
     const result = await store.write(ownership, base?.revision ?? null);
-    records.update(group, {isWriting: false});
+    records.update(group, {
+      isWriting: false,
+      pendingWrites: result.type === 'refused' ? earlier : pendingWrites,
+    });
     if (result.type === 'written') {
       setStored(group, {ownership, revision: result.revision});
     }
@@ -403,7 +433,10 @@
     const current = getState(group).stored?.ownership;
     const isOwner = current !== undefined && isOwnRecord(current);
     if (isOwner) {
-      startOwnership(group, current, sentAt);
+      // If not this write made the record, an earlier one without an answer did.
+      const {firstSentAt} = getState(group).pendingWrites!;
+      const isWritten = result.type === 'written';
+      startOwnership(group, current, isWritten ? sentAt : firstSentAt);
     }
     const now = runtime.now();
     record('info', 'ownership_claimed', {
