Begin a lease only with a record that is newer than the claim's base

Cause: a claim checked that the known record names this run of this host, not that the claim had made it. If the record of an earlier claim without an answer had become known through a watch, the next claim had that record as its base; without an answer, or refused, it left the own record in place, and the lease was counted from a write that had changed nothing.

A claim now begins a lease only if the known record is newer than its base; otherwise the next claim is made as usual.

Evidence: 'does not act because a later claim got no answer' failed before with two active owners.

--- a/packages/pooler/src/__tests__/unit/ownership.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership.test.ts
@@ -300,12 +300,23 @@
     expect(readOwner()).not.toBe(claimant);
   });
 
-  it('does not act because a later claim was refused', async () => {
-    fleet.store.faults.delete(claimant);
-    fleet.store.refusedHosts.add(claimant);
+  /** Only a watch tells the claimant of its record, after a second. */
+  async function learnFromWatch(): Promise<void> {
+    fleet.disturbStore(claimant, {delayMs: 60_000, failMs: 5});
     await measureOwnerGap(1_000);
     fleet.get(claimant).host.updateOwnerships([fleet.store.record!], false);
     fleet.cut(claimant);
+  }
+
+  it('does not act because a later claim was refused', async () => {
+    await learnFromWatch();
+    fleet.store.faults.delete(claimant);
+    await measureOwnerGap(5_000);
+    expect(readOwner()).not.toBe(claimant);
+  });
+
+  it('does not act because a later claim got no answer', async () => {
+    await learnFromWatch();
     await measureOwnerGap(5_000);
     expect(readOwner()).not.toBe(claimant);
   });
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -430,13 +430,19 @@
     };
     const sentAt = runtime.now();
     const result = await write(ownership, base);
-    const current = getState(group).stored?.ownership;
-    const isOwner = current !== undefined && isOwnRecord(current);
+    const {stored, pendingWrites} = getState(group);
+    const isOwner =
+      stored !== null &&
+      stored.revision > (base?.revision ?? -1) &&
+      isOwnRecord(stored.ownership);
     if (isOwner) {
       // If not this write made the record, an earlier one without an answer did.
-      const {firstSentAt} = getState(group).pendingWrites!;
       const isWritten = result.type === 'written';
-      startOwnership(group, current, isWritten ? sentAt : firstSentAt);
+      startOwnership(
+        group,
+        stored.ownership,
+        isWritten ? sentAt : pendingWrites!.firstSentAt,
+      );
     }
     const now = runtime.now();
     record('info', 'ownership_claimed', {
