Subtract a suspension from the send time of a write that was under way

Cause: the suspension was subtracted from the lease, and the answer to a claim or renewal that had been sent before then replaced it by its own send time.

The send times are now kept with the pending writes, where the suspension is subtracted from them too. SIGSTOP is not affected: the monotonic clock goes on.

Evidence: 'does not count the lease of a renewal (a claim) from before the suspension' failed before with two active owners, both of them.

--- a/packages/pooler/src/__tests__/unit/ownership.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership.test.ts
@@ -322,6 +322,44 @@
   });
 });
 
+describe('a host whose process is suspended while a write is under way', () => {
+  /** Suspends a host, and its monotonic clock, until another one owns. */
+  async function suspend(name: string): Promise<void> {
+    fleet.pause(name);
+    const pausedAt = fleet.runtime.now();
+    await measureOwnerGap(10);
+    // The answer of the store is there, and what comes later is dropped.
+    const held = [...fleet.get(name).heldEvents];
+    await measureOwnerGap(4_000);
+    expect(readOwner()).not.toBe(name);
+    fleet.get(name).pausedMs += fleet.runtime.now() - pausedAt;
+    fleet.cut(name);
+    fleet.get(name).heldEvents = held;
+    // It notices the suspension before it reads the answer.
+    fleet.get(name).host.isActiveOwner(GROUP);
+    fleet.resume(name);
+    await measureOwnerGap(2_000);
+  }
+
+  it('does not count the lease of a renewal from before the suspension', async () => {
+    const {renewals} = fleet.store.record!.ownership;
+    while (fleet.store.record!.ownership.renewals === renewals) {
+      await fleet.passTime(1);
+    }
+    await suspend(owner);
+  });
+
+  it('does not count the lease of a claim from before the suspension', async () => {
+    const {deputies} = fleet.store.record!.ownership;
+    const claimant = deputies[0]!.host;
+    fleet.kill(owner);
+    while (readOwner() !== claimant) {
+      await fleet.passTime(1);
+    }
+    await suspend(claimant);
+  });
+});
+
 describe('a host that cannot reach any other data centre', () => {
   it('reports not ready, and ready again once the links are back', async () => {
     const name = findOther(owner);
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -77,6 +77,7 @@
   readonly base: number | null;
   /** Send time of the first of them. */
   readonly firstSentAt: Instant;
+  readonly lastSentAt: Instant;
 }
 
 /** What the controller knows about a group's record. */
@@ -203,9 +204,9 @@
   base: number | null,
   sentAt: Instant,
 ): PendingWrites {
-  return earlier !== null && earlier.base === base
-    ? earlier
-    : {base, firstSentAt: sentAt};
+  const isSameBase = earlier !== null && earlier.base === base;
+  const firstSentAt = isSameBase ? earlier.firstSentAt : sentAt;
+  return {base, firstSentAt, lastSentAt: sentAt};
 }
 
 function listDeputies({deputies}: Ownership): readonly HostId[] {
@@ -271,7 +272,17 @@
     if (Math.abs(changeMs) < SUSPENSION_THRESHOLD_MS) {
       return;
     }
-    for (const {group, lease} of records.list()) {
+    for (const {group, lease, pendingWrites} of records.list()) {
+      if (pendingWrites !== null && changeMs > 0) {
+        const {firstSentAt, lastSentAt} = pendingWrites;
+        records.update(group, {
+          pendingWrites: {
+            ...pendingWrites,
+            firstSentAt: firstSentAt - changeMs,
+            lastSentAt: lastSentAt - changeMs,
+          },
+        });
+      }
       if (lease !== null && changeMs > 0) {
         records.update(group, {
           lease: subtractSuspendedTime(lease, changeMs),
@@ -382,19 +393,17 @@
     base: StoredOwnership | null,
   ): Promise<WriteResult> => {
     const {group} = ownership;
+    const baseRevision = base?.revision ?? null;
     const sentAt = runtime.now();
     const {pendingWrites: earlier} = getState(group);
-    const pendingWrites = addPendingWrite(
-      earlier,
-      base?.revision ?? null,
-      sentAt,
-    );
+    const pendingWrites = addPendingWrite(earlier, baseRevision, sentAt);
     records.update(group, {isWriting: true, writtenAt: sentAt, pendingWrites});
-    const result = await store.write(ownership, base?.revision ?? null);
-    records.update(group, {
-      isWriting: false,
-      pendingWrites: result.type === 'refused' ? earlier : pendingWrites,
-    });
+    const result = await store.write(ownership, baseRevision);
+    records.update(group, {isWriting: false});
+    detectSuspension();
+    if (result.type === 'refused' && earlier?.base !== baseRevision) {
+      records.update(group, {pendingWrites: null});
+    }
     if (result.type === 'written') {
       setStored(group, {ownership, revision: result.revision});
     }
@@ -437,11 +446,12 @@
       isOwnRecord(stored.ownership);
     if (isOwner) {
       // If not this write made the record, an earlier one without an answer did.
+      const {firstSentAt, lastSentAt} = pendingWrites!;
       const isWritten = result.type === 'written';
       startOwnership(
         group,
         stored.ownership,
-        isWritten ? sentAt : pendingWrites!.firstSentAt,
+        isWritten ? lastSentAt : firstSentAt,
       );
     }
     const now = runtime.now();
@@ -536,7 +546,6 @@
       (set, at, sets) => sets.findIndex(x => x.join() === set.join()) === at,
     );
     records.update(group, {lease: {...lease!, deputySets}});
-    const sentAt = runtime.now();
     const ownership = {
       ...before,
       deputies,
@@ -556,7 +565,9 @@
         lease: {
           ...current.lease,
           renewedAt:
-            result.type === 'written' ? sentAt : current.lease.renewedAt,
+            result.type === 'written'
+              ? current.pendingWrites!.lastSentAt
+              : current.lease.renewedAt,
           deputySets: isNewer ? [listDeputies(currentOwnership)] : heldSets,
         },
       });
