Begin an ownership once, also if two claims of it are answered

What callers saw: statements that a new owner had just begun were cut off.

Cause: a claim without an answer reads the record again, and meanwhile the next claim is sent. Both then found the own record and each of them began the ownership: the second closed the pool of the first. If the group had been handed over in between, it would have begun again beside the next owner.

A claim now begins nothing if an ownership has begun since it was sent.

--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -37,6 +37,11 @@
   /** Sessions that the host closed. */
   readonly closedCallers: Set<number>;
   heldEvents: (() => void)[];
+  readonly logs: {
+    readonly at: number;
+    readonly event: string;
+    readonly fields: Readonly<Record<string, unknown>>;
+  }[];
 }
 
 /** What happens to the calls of a host at the store. */
@@ -306,7 +311,7 @@
     target.isPaused = false;
     target.heldEvents = [];
     target.linked.clear();
-    const {starts, dataCentre, replies, closedCallers} = target;
+    const {starts, dataCentre, replies, closedCallers, logs} = target;
     const host = createHost({
       self: {
         host: name,
@@ -318,7 +323,8 @@
       readStatus: readFakeStatus,
       ports: {
         runtime: createClock(name),
-        record: () => undefined,
+        record: (_level, event, fields) =>
+          logs.push({at: runtime.now(), event, fields}),
         reply: (caller, reply) =>
           replies.push({caller, at: runtime.now(), reply}),
         closeCaller: caller => closedCallers.add(caller),
@@ -408,6 +414,7 @@
         replies: [],
         closedCallers: new Set(),
         heldEvents: [],
+        logs: [],
       });
     }
   }
--- a/packages/pooler/src/__tests__/unit/ownership.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership.test.ts
@@ -322,6 +322,26 @@
   });
 });
 
+describe('a host that claims again while it reads the record of its claim', () => {
+  it('becomes the owner once', async () => {
+    const claimant = fleet.store.record!.ownership.deputies[0]!.host;
+    fleet.disturbStore(claimant, {lostShare: 1});
+    fleet.kill(owner);
+    while (readOwner() !== claimant) {
+      await fleet.passTime(10);
+    }
+    await measureOwnerGap(850);
+    fleet.disturbStore(claimant, {delayMs: 300});
+    await measureOwnerGap(3_000);
+    const claims = fleet
+      .get(claimant)
+      .logs.filter(({event}) => event === 'ownership_claimed');
+    expect(claims).toHaveLength(2);
+    const gained = claims.filter(({fields}) => fields['is_owner']);
+    expect(gained).toHaveLength(1);
+  });
+});
+
 describe('a host whose process is suspended while a write is under way', () => {
   /** Suspends a host, and its monotonic clock, until another one owns. */
   async function suspend(name: string): Promise<void> {
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -439,8 +439,10 @@
     };
     const sentAt = runtime.now();
     const result = await write(ownership, base);
-    const {stored, pendingWrites} = getState(group);
+    const {stored, pendingWrites, gainedAt} = getState(group);
+    // A claim that was sent while this one read the record may have begun it.
     const isOwner =
+      gainedAt < sentAt &&
       stored !== null &&
       stored.revision > (base?.revision ?? -1) &&
       isOwnRecord(stored.ownership);
