--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -21,6 +21,8 @@
 let results: Map<string, RunResult>;
 let isLeaseValid: boolean;
 let events: string[];
+/** Fields of the events that say why a promotion waits. */
+let waits: Record<string, unknown>[];
 /** Endpoints that are missing from the endpoint list. */
 let unlisted: Set<string>;
 let isListCurrent: boolean;
@@ -52,7 +54,12 @@
       dataCentre: 'dc-1',
       ports: {
         runtime,
-        record: (_level, event) => events.push(event),
+        record: (_level, event, fields) => {
+          events.push(event);
+          if (event === 'promotion_waits') {
+            waits.push(fields);
+          }
+        },
         openConn: group.openConn,
         promote: call => promote(call),
         send: (_host, msg) => {
@@ -127,6 +134,7 @@
   results = new Map();
   isLeaseValid = true;
   events = [];
+  waits = [];
   unlisted = new Set();
   isListCurrent = true;
   lineage = null;
@@ -908,6 +916,33 @@
     expect(group.promotions).toEqual([]);
   });
 
+  it('says once why no promotion is requested', async () => {
+    lineage = {
+      members: [runOf(1), runOf(2), runOf(3, 0)],
+      term: 1,
+      promoting: [],
+    };
+    await changeOwner(3);
+    pool = openPool();
+    await advanceTime(5_000);
+    expect(waits).toMatchObject([
+      {
+        reason: 'reports_missing',
+        promotion: 'no_primary',
+        reports: 'ledger-2:1.0,ledger-3:1.0',
+        reports_needed: 3,
+        acked: null,
+        best: '1.0',
+      },
+    ]);
+    expect(String(waits[0]!['members']).split(',')).toEqual([
+      expect.stringMatching(/^ledger-1@1\/left_\d+_ms$/),
+      'ledger-2@1/listed',
+      expect.stringMatching(/^ledger-3@0\/left_\d+_ms$/),
+      'ledger-3@1/listed',
+    ]);
+  });
+
   it('gives up endpoints that left for good', async () => {
     lineage = {
       members: [runOf(1), runOf(2), runOf(3), runOf(4)],
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -27,6 +27,7 @@
   openCall,
   removeSettledCalls,
 } from './promotion_calls.js';
+import {findWaitReason, recordWait} from './promotion_wait.js';
 import {abortWorkAt} from './status.js';
 import type {EndpointState, Pool, Promotion} from './state.js';
 
@@ -179,6 +180,7 @@
       startedAt: now,
       drainDeadline: now + DRAIN_TIMEOUT_MS,
       candidate: null,
+      waitReason: null,
       nextAt: now,
     },
   });
@@ -267,24 +269,28 @@
     });
     return;
   }
+  const candidates = listCandidates(pool, promotion);
+  const requirements = {
+    acked: getAckedUpperBound(pool),
+    reportsNeeded: countReportsNeeded(pool),
+  };
   if (state.isSettling) {
+    recordWait(pool, 'settling', candidates, requirements);
     return;
   }
-  const candidates = listCandidates(pool, promotion);
   // Of two requests, the one that takes effect first would lose its commits.
   const requested = candidates.filter(({id}) =>
     state.calls.some(({endpoint}) => endpoint === id),
   );
   const mustWait = hasOpenCalls(pool) && isPrimaryUp;
   const eligible = requested.length > 0 || mustWait ? requested : candidates;
-  const candidate = chooseCandidate(eligible, {
-    acked: getAckedUpperBound(pool),
-    reportsNeeded: countReportsNeeded(pool),
-  });
+  const candidate = chooseCandidate(eligible, requirements);
   if (candidate !== null) {
     void requestPromotion(pool, candidate);
     return;
   }
+  const reason = findWaitReason(candidates, eligible, requirements);
+  recordWait(pool, reason, candidates, requirements);
   if (candidates.length === pool.endpoints.count()) {
     giveUpLeftMembers(pool);
   }
@@ -324,7 +330,11 @@
   const startedAt = pool.now();
   const generation = readGeneration();
   const controller = new AbortController();
-  updatePromotion(pool, {phase: 'calling', candidate: candidate.id});
+  updatePromotion(pool, {
+    phase: 'calling',
+    candidate: candidate.id,
+    waitReason: null,
+  });
   openCall(pool, candidate.id, () => controller.abort());
   const maySend = (): boolean =>
     pool.cfg.isLeaseValid() &&
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -129,6 +129,17 @@
   readonly cancel: () => void;
 }
 
+/** Why a promotion that has begun is not requested yet. */
+export type WaitReason =
+  | 'settling'
+  /** No replica has reported its log since the promotion began. */
+  | 'no_candidate'
+  /** Another request may take effect, and its candidate has not reported. */
+  | 'requested_candidate_missing'
+  | 'reports_missing'
+  /** No candidate is known to have every acknowledged commit. */
+  | 'commits_missing';
+
 /** A change of primary that is in progress. */
 export interface Promotion {
   readonly reason:
@@ -143,6 +154,8 @@
   readonly startedAt: Instant;
   readonly drainDeadline: Instant;
   readonly candidate: EndpointId | null;
+  /** The last recorded reason for which no promotion is requested. */
+  readonly waitReason: WaitReason | null;
   /** When the next step is due. */
   readonly nextAt: Instant;
 }
