Forget no earlier promotion call when its repetition has no effect

What callers saw: acknowledged commits gone after a change of primary (LOST).

Cause: calls were kept one an endpoint. A call without an answer may take effect; its repetition 300 ms later that was not sent (the control interface refuses connections) or was rejected removed the entry of both. The old primary, back by then, was used again until the first call took effect.

Change: each call has an id, and only what it did itself ends it; a primary that is adopted with a new term ends all calls for it.

A group whose calls all have an answer waits no longer than before.

--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -1039,6 +1039,30 @@
     await checkNoneLost(3_000);
   });
 
+  // The repeated call had no effect; the first one was forgotten with it.
+  it.each(['not_sent', 'rejected'] as const)(
+    'keeps the old primary out if its repetition was %s',
+    async type => {
+      let calls = 0;
+      promote = call => {
+        calls++;
+        if (calls > 1) {
+          return Promise.resolve({type, detail: 'refused'});
+        }
+        runtime.at(runtime.now() + 800, () => void group.promote(call));
+        return Promise.resolve({type: 'unknown', detail: 'no answer'});
+      };
+      const primary = group.get(`${GROUP}-1`);
+      primary.isUnresponsive = true;
+      primary.reset();
+      await advanceTime(500);
+      expect(calls).toBe(1);
+      group.get(`${GROUP}-2`).isDeaf = true;
+      primary.isUnresponsive = false;
+      await checkNoneLost(3_000);
+    },
+  );
+
   it('keeps the old primary out at the next owner', async () => {
     await writeFor(200);
     pool.close();
--- a/packages/pooler/src/owner/members.ts
+++ b/packages/pooler/src/owner/members.ts
@@ -115,6 +115,6 @@
       .list()
       .map(({endpoint, startedAt}) => ({endpoint, startedAt})),
     term: Math.max(known?.term ?? 0, primary?.term ?? 0),
-    promoting: pool.read().calls.map(({endpoint}) => endpoint),
+    promoting: [...new Set(pool.read().calls.map(call => call.endpoint))],
   };
 }
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -335,7 +335,7 @@
     candidate: candidate.id,
     waitReason: null,
   });
-  openCall(pool, candidate.id, () => controller.abort());
+  const call = openCall(pool, candidate.id, () => controller.abort());
   const maySend = (): boolean =>
     pool.cfg.isLeaseValid() &&
     readGeneration() === generation &&
@@ -367,9 +367,9 @@
     took_ms: Math.round(pool.now() - startedAt),
   });
   if (MAY_TAKE_EFFECT.has(result.type)) {
-    awaitEffect(pool, candidate.id);
+    awaitEffect(pool, call);
   } else {
-    closeCall(pool, candidate.id);
+    closeCall(pool, call);
   }
   if (result.type === 'rejected') {
     pool.endpoints.update(candidate.id, {
--- a/packages/pooler/src/owner/promotion_calls.ts
+++ b/packages/pooler/src/owner/promotion_calls.ts
@@ -14,43 +14,46 @@
 }
 
 function putCall(pool: Pool, call: PromotionCall): void {
-  const others = pool
-    .read()
-    .calls.filter(({endpoint}) => endpoint !== call.endpoint);
-  pool.update({calls: [...others, call]});
+  pool.update({calls: [...pool.read().calls, call]});
 }
 
-/** Adds a request that is about to be sent. */
+/** Adds a request that is about to be sent; returns its id. */
 export function openCall(
   pool: Pool,
   endpoint: EndpointId,
   cancel: () => void,
-): void {
-  putCall(pool, {endpoint, settledAt: Infinity, cancel});
+): number {
+  const id = pool.nextId();
+  putCall(pool, {id, endpoint, settledAt: Infinity, cancel});
+  return id;
 }
 
 /** Adds the requests of earlier owners that may not have taken effect. */
 export function addInheritedCalls(pool: Pool): void {
   const settledAt = pool.now() + PROMOTE_TIMEOUT_MS;
   for (const endpoint of pool.cfg.lineage?.promoting ?? []) {
-    putCall(pool, {endpoint, settledAt, cancel: () => undefined});
+    const id = pool.nextId();
+    putCall(pool, {id, endpoint, settledAt, cancel: () => undefined});
   }
 }
 
-/** Removes a request that had no effect, or has taken effect. */
-export function closeCall(pool: Pool, endpoint: EndpointId): void {
+/** Removes a request that had no effect; earlier ones may still have one. */
+export function closeCall(pool: Pool, id: number): void {
+  pool.update({calls: pool.read().calls.filter(call => call.id !== id)});
+}
+
+/** Removes the requests for an endpoint that has been promoted. */
+export function closeCallsOf(pool: Pool, endpoint: EndpointId): void {
   const calls = pool.read().calls.filter(call => call.endpoint !== endpoint);
   pool.update({calls});
 }
 
 /** Notes that a request was sent; it takes effect soon or never. */
-export function awaitEffect(pool: Pool, endpoint: EndpointId): void {
+export function awaitEffect(pool: Pool, id: number): void {
   const settledAt = pool.now() + PROMOTE_TIMEOUT_MS;
   const calls = pool
     .read()
-    .calls.map(call =>
-      call.endpoint === endpoint ? {...call, settledAt} : call,
-    );
+    .calls.map(call => (call.id === id ? {...call, settledAt} : call));
   pool.update({calls});
 }
 
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -122,6 +122,7 @@
 
 /** A requested promotion that may take effect, now or later. */
 export interface PromotionCall {
+  readonly id: number;
   readonly endpoint: EndpointId;
   /** When it is too late to take effect; Infinity until it is answered. */
   readonly settledAt: Instant;
--- a/packages/pooler/src/owner/status.ts
+++ b/packages/pooler/src/owner/status.ts
@@ -13,7 +13,7 @@
 import {learnBase} from './acks.js';
 import type {Records} from '../records.js';
 import {createConnLostHandler, closeTx} from './jobs.js';
-import {closeCall} from './promotion_calls.js';
+import {closeCallsOf} from './promotion_calls.js';
 import {dropConn} from './connections.js';
 import {
   BUSY_BACKOFF_MS,
@@ -90,7 +90,7 @@
   const state = pool.endpoints.get(primary.endpoint)!;
   // A request of an earlier owner took effect only if the term is new.
   if (primary.term > (pool.cfg.lineage?.term ?? 0)) {
-    closeCall(pool, primary.endpoint);
+    closeCallsOf(pool, primary.endpoint);
   }
   pool.update({
     primary,
