Promote a replica that has all that was acknowledged, not all that was written

Cause: the position that comes with an acknowledgement is the end of the primary's log. It covers commits that are still on their way to the replicas. If the primary crashes then, no replica ever has that position, and the owner waited for one that has.

Change: if enough logs are known that one of them must hold each acknowledged commit, the most advanced of them is enough. It must also have what is surely acknowledged: more than the log held before the statement was sent. So a report of a replica that lost its log can't pass for enough. An adopted promoted primary sets the position that reads and transactions need to what it holds: they would wait for a position of the lost log otherwise.

Evidence: "is replaced by a replica that has what was acknowledged" failed: not promoted within the 6 s of the test. "is followed by one that begins transactions" fails without the change of the base.

Fewer logs than needed, as with a second endpoint down, wait as before.

--- a/packages/pooler/src/__tests__/fake_group.ts
+++ b/packages/pooler/src/__tests__/fake_group.ts
@@ -25,6 +25,12 @@
   readonly shape: string | null;
 }
 
+/** A commit that a replica has to receive before it is acknowledged. */
+interface UnconfirmedCommit {
+  readonly index: number;
+  readonly confirm: () => void;
+}
+
 export interface FakeEndpoint {
   entry: EndpointEntry;
   role: 'primary' | 'replica';
@@ -38,6 +44,14 @@
   needsSlotForStatus: boolean;
   /** It receives no commits from the primary. */
   isDeaf: boolean;
+  /** Endpoints whose commits it doesn't receive. */
+  unheard: Set<string>;
+  /** Texts of its commits, by index. */
+  log: string[];
+  /** Term of its last commit. */
+  logTerm: number;
+  /** Commits that no replica has received yet. */
+  unconfirmed: UnconfirmedCommit[];
   /**
    * Statements whose replies are lost, by text, or by type if they have no
    * text.
@@ -60,6 +74,17 @@
   readonly endpoints: Map<string, FakeEndpoint>;
   readonly ran: ExecutedStatement[];
   readonly promotions: {endpoint: string; generation: number}[];
+  /**
+   * Time from a commit until replicas receive it, in ms. Above 0, a commit is
+   * answered with the position of the whole log, as real endpoints do.
+   */
+  replicationMs: number;
+  /** Positions have the term of the last commit, not that of the endpoint. */
+  hasCommitTerms: boolean;
+  /** Time from a promotion call until it takes effect, in ms. */
+  promotionMs: number;
+  /** Time until a replaced primary that hears the new one steps down, in ms. */
+  stepDownMs: number;
   /** Replicas that reach the primary receive its whole log. */
   readonly catchUp: () => void;
   /** Called when a promotion takes effect. */
@@ -104,6 +129,10 @@
       executionMs: 4,
       isUnresponsive: false,
       isDeaf: false,
+      unheard: new Set(),
+      log: [],
+      logTerm: 1,
+      unconfirmed: [],
       needsSlotForStatus: false,
       lostReplies: new Set(),
       failEveryNth: 0,
@@ -118,15 +147,27 @@
 
   const get = (id: string): FakeEndpoint => endpoints.get(id)!;
 
-  const replicate = (term: number, index: number): boolean => {
+  const hears = (replica: FakeEndpoint, primary: FakeEndpoint): boolean =>
+    replica.role === 'replica' &&
+    !replica.isUnresponsive &&
+    !replica.isDeaf &&
+    !replica.unheard.has(primary.entry.id) &&
+    replica.term <= primary.term;
+
+  /** Gives the start of a primary's log to those who hear it. */
+  const replicate = (primary: FakeEndpoint, index: number): boolean => {
+    const {term} = primary;
     let received = 0;
     for (const other of endpoints.values()) {
-      const isConnected = !other.isUnresponsive && !other.isDeaf;
-      if (other.role !== 'replica' || !isConnected || other.term > term) {
+      if (!hears(other, primary)) {
         continue;
       }
       received++;
-      other.received = Math.max(other.received, index);
+      if (index > other.received || other.term < term) {
+        other.received = Math.max(other.received, index);
+        other.log = primary.log.slice(0, other.received + 1);
+        other.logTerm = primary.logTerm;
+      }
       runtime.at(runtime.now() + other.lagMs, () => {
         other.term = Math.max(other.term, term);
         other.applied = Math.max(other.applied, index);
@@ -135,6 +176,15 @@
     return received > 0;
   };
 
+  /** Confirms the commits of a primary up to an index. */
+  const confirm = (primary: FakeEndpoint, index: number): void => {
+    const done = primary.unconfirmed.filter(commit => commit.index <= index);
+    primary.unconfirmed = primary.unconfirmed.filter(
+      commit => commit.index > index,
+    );
+    done.forEach(commit => commit.confirm());
+  };
+
   const findPrimary = (): FakeEndpoint =>
     [...endpoints.values()]
       .filter(({role}) => role === 'primary')
@@ -147,12 +197,18 @@
       endpoint.role = 'replica';
       endpoint.term = primary.term;
       endpoint.received = Math.min(endpoint.received, primary.received);
+      endpoint.log = primary.log.slice(0, endpoint.received + 1);
+      endpoint.logTerm = primary.logTerm;
+      endpoint.unconfirmed = [];
       endpoint.applied = Math.min(endpoint.applied, endpoint.received);
     }
   };
 
+  const getLogTerm = ({term, logTerm}: FakeEndpoint): number =>
+    fakeGroup.hasCommitTerms ? logTerm : term;
+
   const getPosition = (endpoint: FakeEndpoint): LogPosition => ({
-    term: endpoint.term,
+    term: getLogTerm(endpoint),
     index: endpoint.role === 'primary' ? endpoint.received : endpoint.applied,
   });
 
@@ -168,10 +224,31 @@
     );
   };
 
-  const commitAt = (endpoint: FakeEndpoint): boolean => {
+  /** Commits at an endpoint; returns whether replicas have received it. */
+  const commitAt = (
+    endpoint: FakeEndpoint,
+    text: string,
+    onConfirmed: () => void,
+  ): boolean => {
     endpoint.received++;
     endpoint.applied = endpoint.received;
-    return replicate(endpoint.term, endpoint.received);
+    const {term, received: index} = endpoint;
+    endpoint.log[index] = text;
+    endpoint.logTerm = term;
+    if (fakeGroup.replicationMs === 0) {
+      return replicate(endpoint, index);
+    }
+    endpoint.unconfirmed.push({index, confirm: onConfirmed});
+    runtime.at(runtime.now() + fakeGroup.replicationMs, () => {
+      const isLeading =
+        endpoint.role === 'primary' &&
+        endpoint.term === term &&
+        !endpoint.isUnresponsive;
+      if (isLeading && replicate(endpoint, index)) {
+        confirm(endpoint, index);
+      }
+    });
+    return false;
   };
 
   const describe = (command: EndpointCommand): string =>
@@ -192,6 +269,7 @@
     };
     let state: TxState = 'idle';
     let hasWritten = false;
+    let lastWrite = '';
     const prepared = new Map<string, string>();
     endpoint.conns++;
     const schedule = (ms: number, fn: () => void): void => {
@@ -207,6 +285,7 @@
       command: EndpointCommand,
       request: string | null,
       after: LogPosition | null,
+      onConfirmed: (reply: EndpointReply) => void,
     ): EndpointReply | 'no_reply' => {
       const error = (fault: EndpointFault): EndpointReply => ({
         type: 'error',
@@ -238,7 +317,8 @@
       }
       if (command.type === 'status') {
         const {role, term, received, lagMs} = endpoint;
-        return done([`${role} ${term} ${term}.${received} 0 ${lagMs} 0 0`]);
+        const position = `${getLogTerm(endpoint)}.${received}`;
+        return done([`${role} ${term} ${position} 0 ${lagMs} 0 0`]);
       }
       if (command.type === 'step_down') {
         endpoint.role = 'replica';
@@ -288,6 +368,7 @@
         });
       }
       hasWritten ||= isWrite;
+      lastWrite = isWrite ? describe(command) : lastWrite;
       const isCommit =
         command.type === 'commit' || (isWrite && state === 'idle');
       if (command.type === 'commit') {
@@ -295,7 +376,8 @@
       }
       if (isCommit && hasWritten) {
         hasWritten = false;
-        if (!commitAt(endpoint)) {
+        const answer = (): void => onConfirmed(done(['row']));
+        if (!commitAt(endpoint, lastWrite, answer)) {
           return 'no_reply';
         }
       }
@@ -318,11 +400,16 @@
             return;
           }
           commands.push({conn, type: command.type, request});
-          const reply = run(command, request, after);
-          const isLost =
-            isStatement && endpoint.lostReplies.has(describe(command));
-          if (reply !== 'no_reply' && !isLost) {
-            schedule(NETWORK_DELAY_MS, () => onReply(reply));
+          const answer = (reply: EndpointReply): void => {
+            const isLost =
+              isStatement && endpoint.lostReplies.has(describe(command));
+            if (!isLost) {
+              schedule(NETWORK_DELAY_MS, () => onReply(reply));
+            }
+          };
+          const reply = run(command, request, after, answer);
+          if (reply !== 'no_reply') {
+            answer(reply);
           }
         });
       },
@@ -335,6 +422,29 @@
     };
   };
 
+  /** Makes replaced primaries follow the new one, once they hear it. */
+  const stepDownLater = (): void => {
+    if (!Number.isFinite(fakeGroup.stepDownMs)) {
+      return;
+    }
+    runtime.at(runtime.now() + fakeGroup.stepDownMs, () => {
+      const primary = findPrimary();
+      const replaced = [...endpoints.values()].filter(
+        ({role, term}) => role === 'primary' && term < primary.term,
+      );
+      const hearing = replaced.filter(
+        ({isUnresponsive, unheard}) =>
+          !isUnresponsive &&
+          !unheard.has(primary.entry.id) &&
+          !primary.isUnresponsive,
+      );
+      hearing.forEach(followPrimary);
+      if (hearing.length < replaced.length) {
+        stepDownLater();
+      }
+    });
+  };
+
   const fakeGroup: FakeGroup = {
     endpoints,
     ran,
@@ -342,11 +452,17 @@
     commands,
     openConn,
     get,
+    replicationMs: 0,
+    hasCommitTerms: false,
+    promotionMs: 600,
+    stepDownMs: Infinity,
     catchUp: () => {
       const primary = findPrimary();
       if (!primary.isUnresponsive) {
         endpoints.forEach(followPrimary);
-        replicate(primary.term, primary.received);
+        if (replicate(primary, primary.received)) {
+          confirm(primary, primary.received);
+        }
       }
     },
     onPromoted: () => undefined,
@@ -356,7 +472,7 @@
       if (endpoint.isUnresponsive) {
         return Promise.resolve({type: 'rejected', detail: 'not running'});
       }
-      runtime.at(runtime.now() + 600, () => {
+      runtime.at(runtime.now() + fakeGroup.promotionMs, () => {
         if (endpoint.isUnresponsive) {
           return;
         }
@@ -369,11 +485,13 @@
           if (
             other !== endpoint &&
             !other.isUnresponsive &&
+            !other.unheard.has(id) &&
             other.role === 'replica'
           ) {
             followPrimary(other);
           }
         }
+        stepDownLater();
       });
       return Promise.resolve({type: 'accepted'});
     },
--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -855,6 +855,56 @@
   });
 });
 
+describe('a primary that crashes while commits are on their way', () => {
+  /** Writes until the primary has commits that no replica has, and crashes it. */
+  async function crashAhead(): Promise<readonly string[]> {
+    group.replicationMs = 5;
+    const primary = group.get(`${GROUP}-1`);
+    const requests: string[] = [];
+    const isAhead = (): boolean =>
+      [...results].some(
+        ([, result]) =>
+          result.type === 'done' &&
+          (result.position?.index ?? 0) > group.get(`${GROUP}-2`).received,
+      );
+    while (!isAhead()) {
+      requests.push(send({statement: WRITE}));
+      await advanceTime(2);
+    }
+    primary.isUnresponsive = true;
+    primary.reset();
+    return requests;
+  }
+
+  // The position after a commit covers others that are on their way. No replica
+  // had it, and the group stayed without a primary until the old one was back.
+  it('is replaced by a replica that has what was acknowledged', async () => {
+    const requests = await crashAhead();
+    const acked = requests.filter(
+      request => results.get(request)?.type === 'done',
+    );
+    const crashedAt = runtime.now();
+    let promotedAt = Infinity;
+    group.onPromoted = ({received}) => {
+      promotedAt = runtime.now();
+      expect(received).toBeGreaterThanOrEqual(acked.length);
+    };
+    await advanceTime(6_000);
+    expect(acked.length).toBeGreaterThan(0);
+    expect(promotedAt - crashedAt).toBeLessThan(1_500);
+  });
+
+  // Transactions needed a position that only the lost log had.
+  it('is followed by one that begins transactions', async () => {
+    group.hasCommitTerms = true;
+    await crashAhead();
+    await advanceTime(2_000);
+    const first = send({tx: firstInTx('t1'), statement: WRITE});
+    await advanceTime(500);
+    expect(results.get(first)).toMatchObject({type: 'done'});
+  });
+});
+
 describe('a new owner after the loss of the primary', () => {
   const runOf = (number: number, startedAt = 1): EndpointRun => ({
     endpoint: `${GROUP}-${number}`,
--- a/packages/pooler/src/decisions/candidate.ts
+++ b/packages/pooler/src/decisions/candidate.ts
@@ -1,7 +1,7 @@
 /** Selects the replica that becomes the next primary. */
 
 import type {EndpointId, LogPosition} from '@lacewingroad/core';
-import {isAtLeast} from './positions.js';
+import {isAtLeast, latestOf} from './positions.js';
 
 /**
  * A replica that can be promoted, as it reported itself after the primary was
@@ -18,8 +18,13 @@
 
 /** What a candidate is checked against when a primary has to be replaced. */
 export interface CandidateRequirements {
-  /** Position at or after every acknowledged commit; null if unknown. */
+  /**
+   * Position at or after every acknowledged commit; null if unknown. No replica
+   * may have it: it covers commits that were on their way to the replicas.
+   */
   readonly acked: LogPosition | null;
+  /** Position at or before the newest acknowledged commit; null if unknown. */
+  readonly surelyAcked: LogPosition | null;
   /** Number of logs of which one has every acknowledged commit. */
   readonly reportsNeeded: number;
 }
@@ -36,29 +41,45 @@
   return isEqual ? a.isNear && !b.isNear : isAhead;
 }
 
+function findMostAdvanced(reports: readonly Candidate[]): LogPosition | null {
+  return reports.reduce<LogPosition | null>(
+    (newest, {received}) => latestOf(newest, received),
+    null,
+  );
+}
+
+/**
+ * Returns the position that a log must have to be known to hold every
+ * acknowledged commit, or null if that cannot be known. The most advanced of
+ * `reportsNeeded` logs has them all.
+ */
+export function findRequiredLog(
+  reports: readonly Candidate[],
+  {acked, surelyAcked, reportsNeeded}: CandidateRequirements,
+): LogPosition | null {
+  if (reports.length < reportsNeeded) {
+    return acked;
+  }
+  const newest = findMostAdvanced(reports);
+  const isShort = acked === null || !isAtLeast(newest, acked);
+  return isShort ? latestOf(newest, surelyAcked) : acked;
+}
+
 /**
  * Chooses the replica to promote, or null if none is known to have every
- * acknowledged commit. If the last acknowledged commit is unknown, the most
- * advanced of `reportsNeeded` candidates has them all.
+ * acknowledged commit. Only `eligible` ones are chosen; all reports count.
  */
 export function chooseCandidate(
-  candidates: readonly Candidate[],
+  reports: readonly Candidate[],
   requirements: CandidateRequirements,
+  eligible: readonly Candidate[] = reports,
 ): Candidate | null {
-  const {acked, reportsNeeded} = requirements;
-  if (acked === null && candidates.length < reportsNeeded) {
+  const required = findRequiredLog(reports, requirements);
+  if (required === null) {
     return null;
   }
-  const mostAdvanced = candidates.reduce<Candidate | null>(
-    (best, candidate) =>
-      best === null || !isAtLeast(best.received, candidate.received)
-        ? candidate
-        : best,
-    null,
-  );
-  const minReceived = acked ?? mostAdvanced?.received ?? null;
-  return candidates
-    .filter(({received}) => isAtLeast(received, minReceived))
+  return eligible
+    .filter(({received}) => isAtLeast(received, required))
     .reduce<Candidate | null>(
       (best, candidate) =>
         best === null || isBetter(candidate, best) ? candidate : best,
--- a/packages/pooler/src/owner/acks.ts
+++ b/packages/pooler/src/owner/acks.ts
@@ -53,9 +53,14 @@
 /** Records a commit that is about to be acknowledged. */
 export function recordAckedCommit(
   pool: Pool,
+  {sentAfter}: Job,
   position: LogPosition | null,
 ): void {
   const now = pool.now();
+  if (sentAfter !== null) {
+    const first = {term: sentAfter.term, index: sentAfter.index + 1};
+    pool.update({surelyAcked: latestOf(pool.read().surelyAcked, first)});
+  }
   const {base, commits} = pool.read();
   const latest = latestOf(getAckedUpperBound(pool), position);
   if (latest === null) {
--- a/packages/pooler/src/owner/group_pool.ts
+++ b/packages/pooler/src/owner/group_pool.ts
@@ -299,6 +299,7 @@
         endpoint: null,
         sentAt: null,
         awaitsReplicas: false,
+        sentAfter: null,
         attempts: 0,
         avoided: [],
       };
--- a/packages/pooler/src/owner/jobs.ts
+++ b/packages/pooler/src/owner/jobs.ts
@@ -59,6 +59,7 @@
     endpoint: null,
     sentAt: null,
     awaitsReplicas: false,
+    sentAfter: null,
     avoided,
   });
   pool.wake();
@@ -324,7 +325,12 @@
   const tx = msg.tx === null ? undefined : pool.txs.get(msg.tx.id);
   const awaitsReplicas =
     isCommitting(msg) && (msg.tx === null || tx?.hasWritten === true);
-  pool.jobs.update(msg.request, {sentAt: pool.now(), awaitsReplicas});
+  const endpoint = pool.endpoints.get(job.endpoint ?? '');
+  pool.jobs.update(msg.request, {
+    sentAt: pool.now(),
+    awaitsReplicas,
+    sentAfter: endpoint?.applied ?? null,
+  });
   if (tx !== undefined && isWrite(msg)) {
     pool.txs.update(tx.id, {hasWritten: true});
   }
@@ -522,7 +528,7 @@
   if (job.awaitsReplicas) {
     // The position after another commit may include writes that the primary
     // has not confirmed.
-    recordAckedCommit(pool, position);
+    recordAckedCommit(pool, job, position);
   }
   endJob(pool, job, {type: 'done', rows, signature, position});
 }
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -272,6 +272,7 @@
   const candidates = listCandidates(pool, promotion);
   const requirements = {
     acked: getAckedUpperBound(pool),
+    surelyAcked: state.surelyAcked,
     reportsNeeded: countReportsNeeded(pool),
   };
   if (state.isSettling) {
@@ -311,7 +312,7 @@
     acked: getAckedUpperBound(pool)?.index ?? null,
     generation: pool.cfg.readGeneration(),
   });
-  pool.update({base: null, commits: []});
+  pool.update({base: null, commits: [], surelyAcked: null});
   learnBase(pool);
 }
 
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -43,6 +43,8 @@
   readonly sentAt: Instant | null;
   /** Whether it was sent and takes effect once replicas have received it. */
   readonly awaitsReplicas: boolean;
+  /** A position of the primary's log before the statement was sent, or null. */
+  readonly sentAfter: LogPosition | null;
   readonly attempts: number;
   /** Endpoints that did not run it, to be avoided in the next attempt. */
   readonly avoided: readonly EndpointId[];
@@ -172,6 +174,8 @@
   /** Covers every commit acknowledged before the first of `commits`. */
   readonly base: LogPosition | null;
   readonly commits: readonly AckedCommit[];
+  /** At or before the newest acknowledged commit; null if unknown. */
+  readonly surelyAcked: LogPosition | null;
   readonly skipCounts: SkipCounts;
   /** Writes that the primary has not answered. */
   readonly unanswered: UnansweredWrites;
@@ -231,6 +235,7 @@
     isSettling: false,
     base: null,
     commits: [],
+    surelyAcked: null,
     skipCounts: new Map(),
     unanswered: NO_UNANSWERED_WRITES,
     isHandingOver: false,
--- a/packages/pooler/src/owner/status.ts
+++ b/packages/pooler/src/owner/status.ts
@@ -87,7 +87,10 @@
 /** Makes an endpoint the known primary, with a newer term. */
 function adoptPrimary(pool: Pool, primary: Primary): void {
   const before = pool.read().primary;
-  const state = pool.endpoints.get(primary.endpoint)!;
+  const {received} = pool.endpoints.get(primary.endpoint)!.status!;
+  // A promoted endpoint has each acknowledged commit, but not all that was on
+  // its way when the primary before it was lost.
+  const isPromoted = before !== null;
   // A request of an earlier owner took effect only if the term is new.
   if (primary.term > (pool.cfg.lineage?.term ?? 0)) {
     closeCallsOf(pool, primary.endpoint);
@@ -97,7 +100,8 @@
     promotion: null,
     unanswered: NO_UNANSWERED_WRITES,
     adoptedAt: pool.now(),
-    base: latestOf(pool.read().base, state.status!.received),
+    base: isPromoted ? received : latestOf(pool.read().base, received),
+    commits: isPromoted ? [] : pool.read().commits,
   });
   pool.cfg.ports.record('info', 'primary_adopted', {
     group: pool.cfg.group,
@@ -105,7 +109,7 @@
     term: primary.term,
     before: before?.endpoint ?? null,
     term_before: before?.term ?? null,
-    index: state.status!.received.index,
+    index: received.index,
     generation: pool.cfg.readGeneration(),
   });
   if (before !== null && before.endpoint !== primary.endpoint) {
