Count all logs known when a promotion is requested again

What callers saw: a group without a primary for the 2.5 s in which a call without an answer may take effect.

Cause: while such a call is open, only its candidate may be called again, and only its report was counted. One log is not enough to know what was acknowledged if the end of the primary's log was lost.

Evidence: "is replaced though the first call got lost" failed: no second call within 1.5 s.

Change: all reports count; which candidates may be chosen is a separate matter. In that test the second call comes within 1.5 s of the crash, in place of after the 2.5 s.

--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -894,6 +894,18 @@
     expect(promotedAt - crashedAt).toBeLessThan(1_500);
   });
 
+  // Only the report of the replica that was called before counted.
+  it('is replaced though the first call got lost', async () => {
+    await crashAhead();
+    let calls = 0;
+    promote = call =>
+      ++calls === 1
+        ? Promise.resolve({type: 'unknown', detail: 'no answer'})
+        : group.promote(call);
+    await advanceTime(1_500);
+    expect(group.promotions).toHaveLength(1);
+  });
+
   // Transactions needed a position that only the lost log had.
   it('is followed by one that begins transactions', async () => {
     group.hasCommitTerms = true;
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -285,7 +285,7 @@
   );
   const mustWait = hasOpenCalls(pool) && isPrimaryUp;
   const eligible = requested.length > 0 || mustWait ? requested : candidates;
-  const candidate = chooseCandidate(eligible, requirements);
+  const candidate = chooseCandidate(candidates, requirements, eligible);
   if (candidate !== null) {
     void requestPromotion(pool, candidate);
     return;
