--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -21,6 +21,8 @@
 let results: Map<string, RunResult>;
 let isLeaseValid: boolean;
 let events: string[];
+/** Fields of the events that say why a promotion waits. */
+let waits: Record<string, unknown>[];
 /** Endpoints that are missing from the endpoint list. */
 let unlisted: Set<string>;
 let isListCurrent: boolean;
@@ -52,7 +54,12 @@
       dataCentre: 'dc-1',
       ports: {
         runtime,
-        record: (_level, event) => events.push(event),
+        record: (_level, event, fields) => {
+          events.push(event);
+          if (event === 'promotion_waits') {
+            waits.push(fields);
+          }
+        },
         openConn: group.openConn,
         promote: call => promote(call),
         send: (_host, msg) => {
@@ -127,6 +134,7 @@
   results = new Map();
   isLeaseValid = true;
   events = [];
+  waits = [];
   unlisted = new Set();
   isListCurrent = true;
   lineage = null;
@@ -847,6 +855,68 @@
   });
 });
 
+describe('a primary that crashes while commits are on their way', () => {
+  /** Writes until the primary has commits that no replica has, and crashes it. */
+  async function crashAhead(): Promise<readonly string[]> {
+    group.replicationMs = 5;
+    const primary = group.get(`${GROUP}-1`);
+    const requests: string[] = [];
+    const isAhead = (): boolean =>
+      [...results].some(
+        ([, result]) =>
+          result.type === 'done' &&
+          (result.position?.index ?? 0) > group.get(`${GROUP}-2`).received,
+      );
+    while (!isAhead()) {
+      requests.push(send({statement: WRITE}));
+      await advanceTime(2);
+    }
+    primary.isUnresponsive = true;
+    primary.reset();
+    return requests;
+  }
+
+  // The position after a commit covers others that are on their way. No replica
+  // had it, and the group stayed without a primary until the old one was back.
+  it('is replaced by a replica that has what was acknowledged', async () => {
+    const requests = await crashAhead();
+    const acked = requests.filter(
+      request => results.get(request)?.type === 'done',
+    );
+    const crashedAt = runtime.now();
+    let promotedAt = Infinity;
+    group.onPromoted = ({received}) => {
+      promotedAt = runtime.now();
+      expect(received).toBeGreaterThanOrEqual(acked.length);
+    };
+    await advanceTime(6_000);
+    expect(acked.length).toBeGreaterThan(0);
+    expect(promotedAt - crashedAt).toBeLessThan(1_500);
+  });
+
+  // Only the report of the replica that was called before counted.
+  it('is replaced though the first call got lost', async () => {
+    await crashAhead();
+    let calls = 0;
+    promote = call =>
+      ++calls === 1
+        ? Promise.resolve({type: 'unknown', detail: 'no answer'})
+        : group.promote(call);
+    await advanceTime(1_500);
+    expect(group.promotions).toHaveLength(1);
+  });
+
+  // Transactions needed a position that only the lost log had.
+  it('is followed by one that begins transactions', async () => {
+    group.hasCommitTerms = true;
+    await crashAhead();
+    await advanceTime(2_000);
+    const first = send({tx: firstInTx('t1'), statement: WRITE});
+    await advanceTime(500);
+    expect(results.get(first)).toMatchObject({type: 'done'});
+  });
+});
+
 describe('a new owner after the loss of the primary', () => {
   const runOf = (number: number, startedAt = 1): EndpointRun => ({
     endpoint: `${GROUP}-${number}`,
@@ -908,6 +978,33 @@
     expect(group.promotions).toEqual([]);
   });
 
+  it('says once why no promotion is requested', async () => {
+    lineage = {
+      members: [runOf(1), runOf(2), runOf(3, 0)],
+      term: 1,
+      promoting: [],
+    };
+    await changeOwner(3);
+    pool = openPool();
+    await advanceTime(5_000);
+    expect(waits).toMatchObject([
+      {
+        reason: 'reports_missing',
+        promotion: 'no_primary',
+        reports: 'ledger-2:1.0,ledger-3:1.0',
+        reports_needed: 3,
+        acked: null,
+        best: '1.0',
+      },
+    ]);
+    expect(String(waits[0]!['members']).split(',')).toEqual([
+      expect.stringMatching(/^ledger-1@1\/left_\d+_ms$/),
+      'ledger-2@1/listed',
+      expect.stringMatching(/^ledger-3@0\/left_\d+_ms$/),
+      'ledger-3@1/listed',
+    ]);
+  });
+
   it('gives up endpoints that left for good', async () => {
     lineage = {
       members: [runOf(1), runOf(2), runOf(3), runOf(4)],
@@ -1004,6 +1101,30 @@
     await checkNoneLost(3_000);
   });
 
+  // The repeated call had no effect; the first one was forgotten with it.
+  it.each(['not_sent', 'rejected'] as const)(
+    'keeps the old primary out if its repetition was %s',
+    async type => {
+      let calls = 0;
+      promote = call => {
+        calls++;
+        if (calls > 1) {
+          return Promise.resolve({type, detail: 'refused'});
+        }
+        runtime.at(runtime.now() + 800, () => void group.promote(call));
+        return Promise.resolve({type: 'unknown', detail: 'no answer'});
+      };
+      const primary = group.get(`${GROUP}-1`);
+      primary.isUnresponsive = true;
+      primary.reset();
+      await advanceTime(500);
+      expect(calls).toBe(1);
+      group.get(`${GROUP}-2`).isDeaf = true;
+      primary.isUnresponsive = false;
+      await checkNoneLost(3_000);
+    },
+  );
+
   it('keeps the old primary out at the next owner', async () => {
     await writeFor(200);
     pool.close();
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -27,6 +27,7 @@
   openCall,
   removeSettledCalls,
 } from './promotion_calls.js';
+import {findWaitReason, recordWait} from './promotion_wait.js';
 import {abortWorkAt} from './status.js';
 import type {EndpointState, Pool, Promotion} from './state.js';
 
@@ -179,6 +180,7 @@
       startedAt: now,
       drainDeadline: now + DRAIN_TIMEOUT_MS,
       candidate: null,
+      waitReason: null,
       nextAt: now,
     },
   });
@@ -267,24 +269,29 @@
     });
     return;
   }
+  const candidates = listCandidates(pool, promotion);
+  const requirements = {
+    acked: getAckedUpperBound(pool),
+    surelyAcked: state.surelyAcked,
+    reportsNeeded: countReportsNeeded(pool),
+  };
   if (state.isSettling) {
+    recordWait(pool, 'settling', candidates, requirements);
     return;
   }
-  const candidates = listCandidates(pool, promotion);
   // Of two requests, the one that takes effect first would lose its commits.
   const requested = candidates.filter(({id}) =>
     state.calls.some(({endpoint}) => endpoint === id),
   );
   const mustWait = hasOpenCalls(pool) && isPrimaryUp;
   const eligible = requested.length > 0 || mustWait ? requested : candidates;
-  const candidate = chooseCandidate(eligible, {
-    acked: getAckedUpperBound(pool),
-    reportsNeeded: countReportsNeeded(pool),
-  });
+  const candidate = chooseCandidate(candidates, requirements, eligible);
   if (candidate !== null) {
     void requestPromotion(pool, candidate);
     return;
   }
+  const reason = findWaitReason(candidates, eligible, requirements);
+  recordWait(pool, reason, candidates, requirements);
   if (candidates.length === pool.endpoints.count()) {
     giveUpLeftMembers(pool);
   }
@@ -305,7 +312,7 @@
     acked: getAckedUpperBound(pool)?.index ?? null,
     generation: pool.cfg.readGeneration(),
   });
-  pool.update({base: null, commits: []});
+  pool.update({base: null, commits: [], surelyAcked: null});
   learnBase(pool);
 }
 
@@ -324,8 +331,12 @@
   const startedAt = pool.now();
   const generation = readGeneration();
   const controller = new AbortController();
-  updatePromotion(pool, {phase: 'calling', candidate: candidate.id});
-  openCall(pool, candidate.id, () => controller.abort());
+  updatePromotion(pool, {
+    phase: 'calling',
+    candidate: candidate.id,
+    waitReason: null,
+  });
+  const call = openCall(pool, candidate.id, () => controller.abort());
   const maySend = (): boolean =>
     pool.cfg.isLeaseValid() &&
     readGeneration() === generation &&
@@ -357,9 +368,9 @@
     took_ms: Math.round(pool.now() - startedAt),
   });
   if (MAY_TAKE_EFFECT.has(result.type)) {
-    awaitEffect(pool, candidate.id);
+    awaitEffect(pool, call);
   } else {
-    closeCall(pool, candidate.id);
+    closeCall(pool, call);
   }
   if (result.type === 'rejected') {
     pool.endpoints.update(candidate.id, {
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -43,6 +43,8 @@
   readonly sentAt: Instant | null;
   /** Whether it was sent and takes effect once replicas have received it. */
   readonly awaitsReplicas: boolean;
+  /** A position of the primary's log before the statement was sent, or null. */
+  readonly sentAfter: LogPosition | null;
   readonly attempts: number;
   /** Endpoints that did not run it, to be avoided in the next attempt. */
   readonly avoided: readonly EndpointId[];
@@ -122,6 +124,7 @@
 
 /** A requested promotion that may take effect, now or later. */
 export interface PromotionCall {
+  readonly id: number;
   readonly endpoint: EndpointId;
   /** When it is too late to take effect; Infinity until it is answered. */
   readonly settledAt: Instant;
@@ -129,6 +132,17 @@
   readonly cancel: () => void;
 }
 
+/** Why a promotion that has begun is not requested yet. */
+export type WaitReason =
+  | 'settling'
+  /** No replica has reported its log since the promotion began. */
+  | 'no_candidate'
+  /** Another request may take effect, and its candidate has not reported. */
+  | 'requested_candidate_missing'
+  | 'reports_missing'
+  /** No candidate is known to have every acknowledged commit. */
+  | 'commits_missing';
+
 /** A change of primary that is in progress. */
 export interface Promotion {
   readonly reason:
@@ -143,6 +157,8 @@
   readonly startedAt: Instant;
   readonly drainDeadline: Instant;
   readonly candidate: EndpointId | null;
+  /** The last recorded reason for which no promotion is requested. */
+  readonly waitReason: WaitReason | null;
   /** When the next step is due. */
   readonly nextAt: Instant;
 }
@@ -158,6 +174,8 @@
   /** Covers every commit acknowledged before the first of `commits`. */
   readonly base: LogPosition | null;
   readonly commits: readonly AckedCommit[];
+  /** At or before the newest acknowledged commit; null if unknown. */
+  readonly surelyAcked: LogPosition | null;
   readonly skipCounts: SkipCounts;
   /** Writes that the primary has not answered. */
   readonly unanswered: UnansweredWrites;
@@ -217,6 +235,7 @@
     isSettling: false,
     base: null,
     commits: [],
+    surelyAcked: null,
     skipCounts: new Map(),
     unanswered: NO_UNANSWERED_WRITES,
     isHandingOver: false,
