Read what has arrived before an idle session is closed

What callers saw: a closed connection with a request open, 0.2 to 0.8 s after its last byte, from hosts that stop or are cut off (LOST).

Cause: idle sessions are closed by a timer. After a pause of the process (starved, suspended) timers run before sockets are read, so a session counted as idle whose statement waited in its socket. The end of a stopping host had the same fault.

Change: sessions are closed, and a stopping host ends, only after a whole turn of the event loop in which input is read; what is read then is answered or refused.

Time without writes isn't touched: no owner waits for it.

--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -36,6 +36,8 @@
   readonly replies: {caller: number; at: number; reply: CallerReply}[];
   /** Sessions that the host closed. */
   readonly closedCallers: Set<number>;
+  /** Input of callers that the process has not read yet. */
+  readonly unreadInput: (() => void)[];
   heldEvents: (() => void)[];
 }
 
@@ -263,7 +265,7 @@
     target.isPaused = false;
     target.heldEvents = [];
     target.linked.clear();
-    const {starts, dataCentre, replies, closedCallers} = target;
+    const {starts, dataCentre, replies, closedCallers, unreadInput} = target;
     const host = createHost({
       self: {
         host: name,
@@ -279,6 +281,10 @@
         reply: (caller, reply) =>
           replies.push({caller, at: runtime.now(), reply}),
         closeCaller: caller => closedCallers.add(caller),
+        afterInput: then => {
+          unreadInput.splice(0).forEach(receive => receive());
+          then();
+        },
         openConn: (entry, handlers) =>
           group.openConn(entry, {
             onReady: position =>
@@ -358,6 +364,7 @@
         linked: new Set(),
         replies: [],
         closedCallers: new Set(),
+        unreadInput: [],
         heldEvents: [],
       });
     }
--- a/packages/pooler/src/__tests__/unit/closing.test.ts
+++ b/packages/pooler/src/__tests__/unit/closing.test.ts
@@ -72,6 +72,19 @@
     expect(isClosed(1)).toBe(true);
   });
 
+  it('answers a statement that arrived before its session is closed', async () => {
+    const {host, replies, unreadInput} = fleet.get(NAME);
+    host.entry.open(1, DATABASE);
+    await fleet.passTime(500);
+    unreadInput.push(() => host.entry.serve(1, 'q', READ));
+    host.entry.beginClosing();
+    expect(isClosed(1)).toBe(false);
+    await fleet.passTime(50);
+    expect(replies.at(-1)!.reply).toMatchObject({type: 'done'});
+    await fleet.passTime(300);
+    expect(isClosed(1)).toBe(true);
+  });
+
   it('keeps them open if it takes callers again', async () => {
     const {entry} = fleet.get(NAME).host;
     entry.open(1, DATABASE);
@@ -117,6 +130,19 @@
     });
   }
 
+  it('answers what arrived last before it ends', async () => {
+    const {host, replies, unreadInput} = fleet.get(NAME);
+    host.entry.open(1, DATABASE);
+    stop();
+    await ask(1, {type: 'begin', readOnly: false});
+    await fleet.passTime(STOP_MS - 50);
+    expect(hasStopped).toBe(false);
+    unreadInput.push(() => host.entry.serve(1, 'last', READ));
+    await fleet.passTime(100);
+    expect(hasStopped).toBe(true);
+    expect(replies).toHaveLength(2);
+  });
+
   // It served callers that never paused until it ended, and cut off what they
   // had sent last (LOST, review case 2).
   it('answers a caller that never pauses, then refuses it and closes', async () => {
--- a/packages/pooler/src/__tests__/unit/entry.test.ts
+++ b/packages/pooler/src/__tests__/unit/entry.test.ts
@@ -37,6 +37,7 @@
       record: () => undefined,
       reply: (_caller, reply) => replies.push(reply),
       closeCaller: caller => closed.push(caller),
+      afterInput: then => then(),
     },
     incarnation: 'a.1',
     send: () => {
--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -78,7 +78,7 @@
 export interface EntryConfig {
   readonly ports: Pick<
     HostPorts,
-    'runtime' | 'record' | 'reply' | 'closeCaller'
+    'runtime' | 'record' | 'reply' | 'closeCaller' | 'afterInput'
   >;
   /** Distinguishes this run of the host from all others. */
   readonly incarnation: string;
@@ -124,6 +124,8 @@
    * open transactions go on.
    */
   readonly refuseOperations: () => void;
+  /** Resolves once the statements that have already arrived were received. */
+  readonly receiveInput: () => Promise<void>;
   /** Answers all requests at once; what may have taken effect is unknown. */
   readonly endRequests: () => void;
   /** Aborts open transactions that have no statement in progress. */
@@ -149,7 +151,7 @@
 
 /** Creates the entry of a host. */
 export function createEntry(cfg: EntryConfig): Entry {
-  const {runtime, record, reply, closeCaller} = cfg.ports;
+  const {runtime, record, reply, closeCaller, afterInput} = cfg.ports;
   const callers = createRecords<number, Caller>();
   const requests = createRecords<string, Request>();
   const timers = new Map<string, Unregister>();
@@ -195,12 +197,22 @@
     tx !== null ||
     runtime.now() - idleSince < SESSION_IDLE_MS;
 
+  /**
+   * Closes the idle sessions among those that match. A statement that arrived
+   * while this process was busy or suspended is received first: its session is
+   * not idle.
+   */
+  const closeIdle = (matches: (caller: Caller) => boolean): void => {
+    const listIdle = (): readonly Caller[] =>
+      callers.list().filter(caller => !isBusy(caller) && matches(caller));
+    if (listIdle().length > 0) {
+      afterInput(() => listIdle().forEach(({id}) => closeCaller(id)));
+    }
+  };
+
   /** Closes idle sessions, again and again until `cancelClosing` is called. */
   const closeIdleCallers = (): void => {
-    callers
-      .list()
-      .filter(caller => !isBusy(caller))
-      .forEach(({id}) => closeCaller(id));
+    closeIdle(() => true);
     cancelClosing = runtime.at(
       runtime.now() + CLOSE_INTERVAL_MS,
       closeIdleCallers,
@@ -720,13 +732,7 @@
     },
     closeIdleSessions: group => {
       const routes = cfg.readTable()?.routes;
-      callers
-        .list()
-        .filter(
-          caller =>
-            !isBusy(caller) && routes?.get(caller.database)?.group === group,
-        )
-        .forEach(({id}) => closeCaller(id));
+      closeIdle(({database}) => routes?.get(database)?.group === group);
     },
     stopClosing: () => {
       cancelClosing?.();
@@ -735,6 +741,7 @@
     refuseOperations: () => {
       isRefusing = true;
     },
+    receiveInput: () => new Promise(afterInput),
     endRequests: () => {
       isRefusing = true;
       for (const req of requests.list()) {
--- a/packages/pooler/src/ports.ts
+++ b/packages/pooler/src/ports.ts
@@ -130,6 +130,8 @@
   readonly record: LogEvent;
   readonly reply: (caller: number, reply: CallerReply) => void;
   readonly closeCaller: (caller: number) => void;
+  /** Calls back once the statements that have already arrived were received. */
+  readonly afterInput: (then: () => void) => void;
   readonly openConn: OpenEndpointConn;
   readonly send: (host: HostId, msg: PoolMessage) => void;
   readonly promote: Promote;
--- a/packages/pooler/src/stop.ts
+++ b/packages/pooler/src/stop.ts
@@ -37,9 +37,11 @@
   });
   await waitUntil(runtime, closeAt);
   host.entry.beginClosing();
-  const hasWork = (): boolean =>
-    !isHandedOver || host.entry.countBusyCallers() > 0;
-  while (hasWork() && runtime.now() < deadline) {
+  const hasWork = async (): Promise<boolean> => {
+    await host.entry.receiveInput();
+    return !isHandedOver || host.entry.countBusyCallers() > 0;
+  };
+  while (runtime.now() < deadline && (await hasWork())) {
     if (runtime.now() >= refuseAt) {
       host.entry.refuseOperations();
       host.entry.abortTxs();
@@ -47,4 +49,7 @@
     await waitUntil(runtime, runtime.now() + POLL_MS);
   }
   host.entry.endRequests();
+  // What has arrived by now is refused; the sessions are closed after it.
+  await host.entry.receiveInput();
+  host.entry.endRequests();
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -2,6 +2,6 @@
 
 export {waitUntil} from './runtime.js';
 export type {Instant, Runtime, Unregister} from './runtime.js';
-export {createSystemRuntime} from './system_runtime.js';
+export {callAfterInput, createSystemRuntime} from './system_runtime.js';
 export {createVirtualRuntime} from './virtual_runtime.js';
 export type {VirtualRuntime} from './virtual_runtime.js';
--- a/packages/runtime/src/system_runtime.ts
+++ b/packages/runtime/src/system_runtime.ts
@@ -27,6 +27,14 @@
   return () => clearTimeout(timer);
 }
 
+/**
+ * Calls back after a whole turn of the event loop, in which each socket with
+ * input is read. The first of two immediates may end a turn that began before.
+ */
+export function callAfterInput(then: () => void): void {
+  setImmediate(() => setImmediate(then));
+}
+
 /** Creates the runtime for daemons and tools. */
 export function createSystemRuntime(): Runtime {
   return {
