Ask callers to connect again while a host has no table yet

A caller takes that for final, and doesn't retry.

Cause: a host without a table counted every database as unknown. The platform sends callers to such a host when too few others are ready, and the store may answer it only after seconds.

--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -93,11 +93,14 @@
 }
 
 /** The result of opening a session. */
-export type OpenResult = 'opened' | 'no_database' | 'stopping';
+export type OpenResult = 'opened' | 'no_database' | 'starting' | 'stopping';
 
 /** Serves the callers of one host. */
 export interface Entry {
-  /** Starts a session, unless the host stops or the database is unknown. */
+  /**
+   * Starts a session, unless the host stops, has no table yet, or the database
+   * is unknown.
+   */
   readonly open: (caller: number, database: string) => OpenResult;
   readonly serve: (
     caller: number,
@@ -648,7 +651,11 @@
       if (isRefusing) {
         return 'stopping';
       }
-      if (cfg.readTable()?.routes.has(database) !== true) {
+      const table = cfg.readTable();
+      if (table === null) {
+        return 'starting';
+      }
+      if (!table.routes.has(database)) {
         return 'no_database';
       }
       callers.put(id, {
