Log why sessions are closed, and requests whose connection ended

For a request that was cut off, no line told its host, its owner, or that the host itself had closed the session: a closed session left no line at all, and a connection that ended with a request in progress none either.

caller_left names the request, its owner and its age; sessions_closed the reason (stopping, cut_off, owner_lost) and the number of sessions. A session is closed once, not again every 20 ms until its caller answers.

--- a/packages/pooler/src/__tests__/unit/entry.test.ts
+++ b/packages/pooler/src/__tests__/unit/entry.test.ts
@@ -25,6 +25,7 @@
 let sent: number;
 let replies: CallerReply[];
 let closed: number[];
+let logged: {event: string; fields: object}[];
 let table: RouteTable | null;
 
 beforeEach(() => {
@@ -33,11 +34,12 @@
   sent = 0;
   replies = [];
   closed = [];
+  logged = [];
   table = TABLE;
   entry = createEntry({
     ports: {
       runtime,
-      record: () => undefined,
+      record: (_level, event, fields) => logged.push({event, fields}),
       reply: (_caller, reply) => replies.push(reply),
       closeCaller: caller => closed.push(caller),
       afterInput: then => then(),
@@ -63,6 +65,25 @@
   expect(entry.open(3, 'other')).toBe('no_database');
 });
 
+it('logs why its sessions were closed, and what was in progress', () => {
+  owner = 'b-1';
+  entry.serve(1, 'q1', READ);
+  entry.close(1);
+  expect(logged.at(-1)).toMatchObject({
+    event: 'caller_left',
+    fields: {caller_request: 'q1', owner: 'b-1'},
+  });
+  entry.open(2, DATABASE);
+  runtime.runUntil(1_000);
+  entry.beginClosing();
+  runtime.runUntil(2_000);
+  expect(closed).toEqual([2]);
+  expect(logged.at(-1)).toEqual({
+    event: 'sessions_closed',
+    fields: {reason: 'stopping', count: 1},
+  });
+});
+
 describe('a session whose statement cannot reach the owner', () => {
   it('is closed after the refusal, so that its caller tries another host', () => {
     entry.serve(1, 'q1', READ);
--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -56,6 +56,8 @@
   readonly idleSince: Instant;
   /** Whether its caller is to continue at another host. */
   readonly isLeaving: boolean;
+  /** Whether this host has closed its connection. */
+  readonly isClosing: boolean;
 }
 
 /** A statement that a pool has to run. */
@@ -205,17 +207,32 @@
    * while this process was busy or suspended is received first: its session is
    * not idle.
    */
-  const closeIdle = (matches: (caller: Caller) => boolean): void => {
+  const closeIdle = (
+    reason: string,
+    matches: (caller: Caller) => boolean,
+  ): void => {
     const listIdle = (): readonly Caller[] =>
-      callers.list().filter(caller => !isBusy(caller) && matches(caller));
-    if (listIdle().length > 0) {
-      afterInput(() => listIdle().forEach(({id}) => closeCaller(id)));
+      callers
+        .list()
+        .filter(
+          caller => !isBusy(caller) && !caller.isClosing && matches(caller),
+        );
+    if (listIdle().length === 0) {
+      return;
     }
+    afterInput(() => {
+      const idle = listIdle();
+      record('info', 'sessions_closed', {reason, count: idle.length});
+      for (const {id} of idle) {
+        callers.update(id, {isClosing: true});
+        closeCaller(id);
+      }
+    });
   };
 
   /** Closes idle sessions, again and again until `cancelClosing` is called. */
   const closeIdleCallers = (): void => {
-    closeIdle(() => true);
+    closeIdle(cfg.isCutOff() ? 'cut_off' : 'stopping', () => true);
     cancelClosing = runtime.at(
       runtime.now() + CLOSE_INTERVAL_MS,
       closeIdleCallers,
@@ -669,6 +686,7 @@
         request: null,
         idleSince: runtime.now(),
         isLeaving: false,
+        isClosing: false,
       });
       return 'opened';
     },
@@ -693,6 +711,18 @@
       if (caller === undefined) {
         return;
       }
+      if (caller.request !== null) {
+        const req = requests.get(caller.request);
+        record('info', 'caller_left', {
+          request: caller.request,
+          caller_request: req?.callerRequest ?? null,
+          kind: caller.database,
+          owner: req?.sentTo ?? null,
+          latency_ms: Math.round(
+            runtime.now() - (req?.receivedAt ?? runtime.now()),
+          ),
+        });
+      }
       rollBack(caller);
       callers.remove(id);
     },
@@ -739,7 +769,10 @@
     },
     closeIdleSessions: group => {
       const routes = cfg.readTable()?.routes;
-      closeIdle(({database}) => routes?.get(database)?.group === group);
+      closeIdle(
+        'owner_lost',
+        ({database}) => routes?.get(database)?.group === group,
+      );
     },
     stopClosing: () => {
       cancelClosing?.();
