--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -36,6 +36,8 @@
   readonly replies: {caller: number; at: number; reply: CallerReply}[];
   /** Sessions that the host closed. */
   readonly closedCallers: Set<number>;
+  /** Input of callers that the process has not read yet. */
+  readonly unreadInput: (() => void)[];
   heldEvents: (() => void)[];
   readonly logs: {
     readonly at: number;
@@ -311,7 +313,8 @@
     target.isPaused = false;
     target.heldEvents = [];
     target.linked.clear();
-    const {starts, dataCentre, replies, closedCallers, logs} = target;
+    const {starts, dataCentre, replies, closedCallers} = target;
+    const {logs, unreadInput} = target;
     const host = createHost({
       self: {
         host: name,
@@ -328,6 +331,10 @@
         reply: (caller, reply) =>
           replies.push({caller, at: runtime.now(), reply}),
         closeCaller: caller => closedCallers.add(caller),
+        afterInput: then => {
+          unreadInput.splice(0).forEach(receive => receive());
+          then();
+        },
         openConn: (entry, handlers) =>
           group.openConn(entry, {
             onReady: position =>
@@ -413,6 +420,7 @@
         linked: new Set(),
         replies: [],
         closedCallers: new Set(),
+        unreadInput: [],
         heldEvents: [],
         logs: [],
       });
--- a/packages/pooler/src/__tests__/unit/entry.test.ts
+++ b/packages/pooler/src/__tests__/unit/entry.test.ts
@@ -10,6 +10,7 @@
 import type {Entry} from '../../entry/entry.js';
 import type {CallerReply} from '../../entry/caller_reply.js';
 import {TAKEOVER_MS} from '../../decisions/reach.js';
+import type {RouteTable} from '../../model/directory.js';
 import type {CallerStatement} from '../../model/statement.js';
 import {DATABASE, GROUP, TABLE} from '../fake_fleet.js';
 
@@ -24,6 +25,8 @@
 let sent: number;
 let replies: CallerReply[];
 let closed: number[];
+let logged: {event: string; fields: object}[];
+let table: RouteTable | null;
 
 beforeEach(() => {
   runtime = createVirtualRuntime(1);
@@ -31,18 +34,21 @@
   sent = 0;
   replies = [];
   closed = [];
+  logged = [];
+  table = TABLE;
   entry = createEntry({
     ports: {
       runtime,
-      record: () => undefined,
+      record: (_level, event, fields) => logged.push({event, fields}),
       reply: (_caller, reply) => replies.push(reply),
       closeCaller: caller => closed.push(caller),
+      afterInput: then => then(),
     },
     incarnation: 'a.1',
     send: () => {
       sent++;
     },
-    readTable: () => TABLE,
+    readTable: () => table,
     findOwner: () => owner,
     isCutOff: () => false,
     readOwnerLostAt: () => (owner === null ? LOST_AT : null),
@@ -50,6 +56,34 @@
   entry.open(1, DATABASE);
 });
 
+// A host that had just started named every database unknown.
+it('asks callers to connect again while there is no table', () => {
+  table = null;
+  expect(entry.open(2, DATABASE)).toBe('starting');
+  table = TABLE;
+  expect(entry.open(2, DATABASE)).toBe('opened');
+  expect(entry.open(3, 'other')).toBe('no_database');
+});
+
+it('logs why its sessions were closed, and what was in progress', () => {
+  owner = 'b-1';
+  entry.serve(1, 'q1', READ);
+  entry.close(1);
+  expect(logged.at(-1)).toMatchObject({
+    event: 'caller_left',
+    fields: {caller_request: 'q1', owner: 'b-1'},
+  });
+  entry.open(2, DATABASE);
+  runtime.runUntil(1_000);
+  entry.beginClosing();
+  runtime.runUntil(2_000);
+  expect(closed).toEqual([2]);
+  expect(logged.at(-1)).toEqual({
+    event: 'sessions_closed',
+    fields: {reason: 'stopping', count: 1},
+  });
+});
+
 describe('a session whose statement cannot reach the owner', () => {
   it('is closed after the refusal, so that its caller tries another host', () => {
     entry.serve(1, 'q1', READ);
--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -56,6 +56,8 @@
   readonly idleSince: Instant;
   /** Whether its caller is to continue at another host. */
   readonly isLeaving: boolean;
+  /** Whether this host has closed its connection. */
+  readonly isClosing: boolean;
 }
 
 /** A statement that a pool has to run. */
@@ -78,7 +80,7 @@
 export interface EntryConfig {
   readonly ports: Pick<
     HostPorts,
-    'runtime' | 'record' | 'reply' | 'closeCaller'
+    'runtime' | 'record' | 'reply' | 'closeCaller' | 'afterInput'
   >;
   /** Distinguishes this run of the host from all others. */
   readonly incarnation: string;
@@ -93,11 +95,14 @@
 }
 
 /** The result of opening a session. */
-export type OpenResult = 'opened' | 'no_database' | 'stopping';
+export type OpenResult = 'opened' | 'no_database' | 'starting' | 'stopping';
 
 /** Serves the callers of one host. */
 export interface Entry {
-  /** Starts a session, unless the host stops or the database is unknown. */
+  /**
+   * Starts a session, unless the host stops, has no table yet, or the database
+   * is unknown.
+   */
   readonly open: (caller: number, database: string) => OpenResult;
   readonly serve: (
     caller: number,
@@ -124,6 +129,8 @@
    * open transactions go on.
    */
   readonly refuseOperations: () => void;
+  /** Resolves once the statements that have already arrived were received. */
+  readonly receiveInput: () => Promise<void>;
   /** Answers all requests at once; what may have taken effect is unknown. */
   readonly endRequests: () => void;
   /** Aborts open transactions that have no statement in progress. */
@@ -149,7 +156,7 @@
 
 /** Creates the entry of a host. */
 export function createEntry(cfg: EntryConfig): Entry {
-  const {runtime, record, reply, closeCaller} = cfg.ports;
+  const {runtime, record, reply, closeCaller, afterInput} = cfg.ports;
   const callers = createRecords<number, Caller>();
   const requests = createRecords<string, Request>();
   const timers = new Map<string, Unregister>();
@@ -195,12 +202,37 @@
     tx !== null ||
     runtime.now() - idleSince < SESSION_IDLE_MS;
 
+  /**
+   * Closes the idle sessions among those that match. A statement that arrived
+   * while this process was busy or suspended is received first: its session is
+   * not idle.
+   */
+  const closeIdle = (
+    reason: string,
+    matches: (caller: Caller) => boolean,
+  ): void => {
+    const listIdle = (): readonly Caller[] =>
+      callers
+        .list()
+        .filter(
+          caller => !isBusy(caller) && !caller.isClosing && matches(caller),
+        );
+    if (listIdle().length === 0) {
+      return;
+    }
+    afterInput(() => {
+      const idle = listIdle();
+      record('info', 'sessions_closed', {reason, count: idle.length});
+      for (const {id} of idle) {
+        callers.update(id, {isClosing: true});
+        closeCaller(id);
+      }
+    });
+  };
+
   /** Closes idle sessions, again and again until `cancelClosing` is called. */
   const closeIdleCallers = (): void => {
-    callers
-      .list()
-      .filter(caller => !isBusy(caller))
-      .forEach(({id}) => closeCaller(id));
+    closeIdle(cfg.isCutOff() ? 'cut_off' : 'stopping', () => true);
     cancelClosing = runtime.at(
       runtime.now() + CLOSE_INTERVAL_MS,
       closeIdleCallers,
@@ -636,7 +668,11 @@
       if (isRefusing) {
         return 'stopping';
       }
-      if (cfg.readTable()?.routes.has(database) !== true) {
+      const table = cfg.readTable();
+      if (table === null) {
+        return 'starting';
+      }
+      if (!table.routes.has(database)) {
         return 'no_database';
       }
       callers.put(id, {
@@ -650,6 +686,7 @@
         request: null,
         idleSince: runtime.now(),
         isLeaving: false,
+        isClosing: false,
       });
       return 'opened';
     },
@@ -674,6 +711,18 @@
       if (caller === undefined) {
         return;
       }
+      if (caller.request !== null) {
+        const req = requests.get(caller.request);
+        record('info', 'caller_left', {
+          request: caller.request,
+          caller_request: req?.callerRequest ?? null,
+          kind: caller.database,
+          owner: req?.sentTo ?? null,
+          latency_ms: Math.round(
+            runtime.now() - (req?.receivedAt ?? runtime.now()),
+          ),
+        });
+      }
       rollBack(caller);
       callers.remove(id);
     },
@@ -720,13 +769,10 @@
     },
     closeIdleSessions: group => {
       const routes = cfg.readTable()?.routes;
-      callers
-        .list()
-        .filter(
-          caller =>
-            !isBusy(caller) && routes?.get(caller.database)?.group === group,
-        )
-        .forEach(({id}) => closeCaller(id));
+      closeIdle(
+        'owner_lost',
+        ({database}) => routes?.get(database)?.group === group,
+      );
     },
     stopClosing: () => {
       cancelClosing?.();
@@ -735,6 +781,7 @@
     refuseOperations: () => {
       isRefusing = true;
     },
+    receiveInput: () => new Promise(afterInput),
     endRequests: () => {
       isRefusing = true;
       for (const req of requests.list()) {
