Keep the known red payment test beside the one that replaces it

The old test and its entry stay until a run shows the natural sequence; the new test runs beside it.

--- a/packages/daemon/src/__tests__/integration/request_keys.test.ts
+++ b/packages/daemon/src/__tests__/integration/request_keys.test.ts
@@ -1,6 +1,7 @@
 /** Each request key runs at most once, and the answer "not run" is correct. */
 
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {knownRed} from '../../../../fakes/src/__tests__/known_red.js';
 import {LINKS} from '@lacewingroad/standins';
 import type {FaultRule} from '@lacewingroad/standins';
 import {
@@ -119,9 +120,27 @@
     await expectOnce([1, 2, 3, 4]);
   });
 
+  knownRed('runs once while its answers are lost on the way', async () => {
+    const drop = {
+      from: '*',
+      link: 'endpoint:g1-a',
+      effect: {type: 'drop_down'},
+    } as const;
+    const ids = Array.from({length: 12}, (_, index) => index + 1);
+    const paying = ids.map(id => payUntilDone(id));
+    for (let round = 0; round < 3; round += 1) {
+      await waitMs(40);
+      await harness.setFaultRules(drop);
+      await waitMs(300);
+      await harness.setFaultRules();
+    }
+    await Promise.all(paying);
+    await expectOnce(ids);
+  });
+
   // Lost answers can make the primary change: what no replica had is then lost,
   // unless the row of the table has it acknowledged by one.
-  it('runs once while its answers are lost on the way', async () => {
+  it('survives a change of primary that lost answers cause, if acknowledged by a replica', async () => {
     const drop = {
       from: '*',
       link: 'endpoint:g1-a',
