--- a/packages/pooler/src/__tests__/unit/ownership.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership.test.ts
@@ -342,6 +342,28 @@
   });
 });
 
+describe('a promotion call that a link holds', () => {
+  it('does not reach the platform after the call of the next owner', async () => {
+    const HOLD_MS = 1_200;
+    for (const cutMs of [0, 150, 200, 400]) {
+      fleet = createFleet(CENTRES, 2);
+      await fleet.passTime(5_000);
+      owner = readOwner();
+      fleet.get(owner).holdCallsMs = HOLD_MS;
+      fleet.cut(owner);
+      await fleet.passTime(cutMs);
+      const primary = fleet.group.get('ledger-1');
+      primary.isUnresponsive = true;
+      primary.reset();
+      fleet.store.unlisted.add('ledger-1');
+      await measureOwnerGap(6_000);
+      const tokens = fleet.receivedCalls.map(({generation}) => generation);
+      expect(tokens).toEqual([...tokens].sort((a, b) => a - b));
+      expect(readOwner()).not.toBe(owner);
+    }
+  });
+});
+
 describe('a host whose process is suspended while a write is under way', () => {
   /** Suspends a host, and its monotonic clock, until another one owns. */
   async function suspend(name: string): Promise<void> {
