--- a/packages/pooler/src/__tests__/fake_group.ts
+++ b/packages/pooler/src/__tests__/fake_group.ts
@@ -321,8 +321,10 @@
         return done([`${role} ${term} ${position} 0 ${lagMs} 0 0`]);
       }
       if (command.type === 'step_down') {
-        endpoint.role = 'replica';
-        followPrimary(endpoint);
+        if (endpoint.term < command.term) {
+          endpoint.role = 'replica';
+          followPrimary(endpoint);
+        }
         return done([]);
       }
       if (command.type === 'rollback') {
