Refuse requests in time when no host takes a group over

What callers saw: BUSY only at the deadline of their request, after up to 2 s, while all hosts stop. Nothing could serve them all the while.

Cause: an owner that hands its group over answers "not the owner", and the entry sends the request again every 40 ms. Without a next owner, or with one that stops as well, that went on until the deadline.

Change: a host that gives up a group tells the others that it is inactive, as it does when its lease expires; a stopping host that is named as the next owner answers the same. Waiting requests then end as for any lost owner. A host that gains a group reports that it is active, so that an earlier report for the same generation doesn't last.

Evidence: "refuses statements at once when no host takes over" fails before.

--- a/packages/pooler/src/__tests__/unit/closing.test.ts
+++ b/packages/pooler/src/__tests__/unit/closing.test.ts
@@ -130,6 +130,22 @@
     });
   }
 
+  // Its statements were sent to the former owner until their deadline.
+  it('refuses statements at once when no host takes over', async () => {
+    fleet.hosts.forEach(({host}) => void host.handOver());
+    await fleet.passTime(3_000);
+    const {host, replies} = fleet.get(NAME);
+    for (const [caller, limitMs] of [
+      [1, 400],
+      [2, 50],
+    ] as const) {
+      host.entry.open(caller, DATABASE);
+      host.entry.serve(caller, 'q', READ);
+      await fleet.passTime(limitMs);
+      expect(replies.at(-1)).toMatchObject({caller, reply: {fault: 'busy'}});
+    }
+  });
+
   it('answers what arrived last before it ends', async () => {
     const {host, replies, unreadInput} = fleet.get(NAME);
     host.entry.open(1, DATABASE);
--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -181,11 +181,19 @@
     onGained: group => {
       pools.get(group)?.close();
       pools.set(group, openPool(group));
-      setOwner(group, self.host, ownership.readGeneration(group));
+      const generation = ownership.readGeneration(group);
+      setOwner(group, self.host, generation);
+      // It may have lost the same generation before.
+      reportActivity(group, generation, true);
     },
     onLost: group => {
       pools.get(group)?.close();
       pools.delete(group);
+      const owner = owners.get(group);
+      if (owner?.host === self.host) {
+        // There may be no next owner, or its record may come late.
+        reportActivity(group, owner.generation, false);
+      }
     },
     onActivityChanged: (group, isActive) => {
       const generation = ownership.readGeneration(group);
@@ -194,8 +202,7 @@
         isActive ? 'lease_regained' : 'lease_expired',
         {group, generation},
       );
-      const msg = {type: 'owner_state', group, generation, isActive} as const;
-      [self.host, ...linkedHosts].forEach(host => send(host, msg));
+      reportActivity(group, generation, isActive);
       if (!isActive) {
         pools.get(group)?.endWaitingJobs();
       }
@@ -213,6 +220,16 @@
     },
   });
 
+  /** Tells all linked hosts whether this one may act as an owner. */
+  const reportActivity = (
+    group: GroupId,
+    generation: number,
+    isActive: boolean,
+  ): void => {
+    const msg = {type: 'owner_state', group, generation, isActive} as const;
+    [self.host, ...linkedHosts].forEach(host => send(host, msg));
+  };
+
   const setOwner = (group: GroupId, host: HostId, generation: number): void => {
     const known = owners.get(group);
     if (known !== undefined && known.generation > generation) {
@@ -317,8 +334,17 @@
         result: {type: 'refused', reason: 'not_owner'},
       });
       const stored = ownership.readStored(msg.group);
-      if (stored !== null && stored.ownership.owner.host !== self.host) {
+      if (stored === null) {
+        return;
+      }
+      if (stored.ownership.owner.host !== self.host) {
         send(host, {type: 'record', stored});
+        return;
+      }
+      if (isDraining) {
+        // Handed over to this host, which will not take it.
+        const {group, generation} = stored.ownership;
+        send(host, {type: 'owner_state', group, generation, isActive: false});
       }
     },
     ran: (_host, msg) => entry.handleRan(msg.request, msg.result),
