Let open transactions end in half of the grace period

What callers saw: ABORTED 2.91 s after SIGTERM with a grace period of 6 s. At SIGTERM an open transaction has half of it, 3 s.

Cause: transactions were aborted when new operations are refused, at 52% of a shutdown that ends 0.4 s before the grace period.

Change: they are aborted at 55% of the shutdown, 3.08 s after the signal. New operations are refused at 2.91 s as before. A statement sent just before the abort has 2.5 s until the shutdown ends, longer than the time limits in use.

Evidence: "lets an open transaction end in half of the grace period" fails before. Not played with processes alone. Time without writes isn't touched.

--- a/packages/pooler/src/__tests__/unit/closing.test.ts
+++ b/packages/pooler/src/__tests__/unit/closing.test.ts
@@ -12,6 +12,8 @@
 const WRITE: CallerStatement = {type: 'run', access: 'write', text: 'PUT 1 a'};
 /** Time from the stop signal until the host ends, in ms. */
 const STOP_MS = 5_600;
+/** Time from the stop signal until the host would be killed, in ms. */
+const GRACE_MS = 6_000;
 /** Time from an answer to the next statement of the same operation, in ms. */
 const CALLER_MS = 8;
 
@@ -176,6 +178,17 @@
     expect(host.entry.open(2, DATABASE)).toBe('stopping');
   });
 
+  it('lets an open transaction end in half of the grace period', async () => {
+    const {host, replies} = fleet.get(NAME);
+    host.entry.open(1, DATABASE);
+    await ask(1, {type: 'begin', readOnly: false});
+    await ask(1, WRITE);
+    stop();
+    await fleet.passTime(GRACE_MS / 2 - 20);
+    await ask(1, {type: 'commit'});
+    expect(replies.at(-1)!.reply).toMatchObject({type: 'done', state: 'idle'});
+  });
+
   it('ends an open transaction, and refuses the next operation', async () => {
     const {entry} = fleet.get(NAME).host;
     entry.open(1, DATABASE);
--- a/packages/pooler/src/stop.ts
+++ b/packages/pooler/src/stop.ts
@@ -10,10 +10,15 @@
  */
 const READINESS_DRAIN_MS = 2_100;
 /**
- * Share of the shutdown time after which open transactions are aborted and new
- * operations are refused: each one that was accepted needs time to end.
+ * Share of the shutdown time after which new operations are refused: each one
+ * that was accepted needs time to end.
  */
 const OPERATION_TIME_SHARE = 0.52;
+/**
+ * Share of the shutdown time after which open transactions are aborted. The
+ * shutdown ends a little before the grace period, of which they have half.
+ */
+const TX_TIME_SHARE = 0.55;
 /** Interval at which a stopping host checks for remaining work, in ms. */
 const POLL_MS = 20;
 
@@ -28,7 +33,9 @@
   deadline: Instant,
 ): Promise<void> {
   const startedAt = runtime.now();
-  const refuseAt = startedAt + (deadline - startedAt) * OPERATION_TIME_SHARE;
+  const timeMs = deadline - startedAt;
+  const refuseAt = startedAt + timeMs * OPERATION_TIME_SHARE;
+  const abortAt = startedAt + timeMs * TX_TIME_SHARE;
   const closeAt = Math.min(startedAt + READINESS_DRAIN_MS, refuseAt);
   let isHandedOver = false;
   // Callers do not wait for it: the store may be slow.
@@ -44,6 +51,8 @@
   while (runtime.now() < deadline && (await hasWork())) {
     if (runtime.now() >= refuseAt) {
       host.entry.refuseOperations();
+    }
+    if (runtime.now() >= abortAt) {
       host.entry.abortTxs();
     }
     await waitUntil(runtime, runtime.now() + POLL_MS);
