Show reads that wait for a rolled-back log under a new owner (known red)

A call of the owner before takes effect after the new one has learned its base from a replica that is ahead. The promoted replica holds less, the other one is rolled back, and adoptPrimary keeps the higher base if no primary was known: strict reads and transactions wait for a position that no log has, until a single write gets a position of the new term.

--- a/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
+++ b/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
@@ -6,6 +6,8 @@
 import {beforeEach, describe, expect} from 'vitest';
 import {createVirtualRuntime} from '@lacewingroad/runtime';
 import type {VirtualRuntime} from '@lacewingroad/runtime';
+import type {RunMessage} from '../../model/message.js';
+import type {GroupLineage} from '../../model/ownership.js';
 import type {Promote} from '../../ports.js';
 import {knownRed} from '../../../../fakes/src/__tests__/known_red.js';
 import {createGroupPool} from '../../owner/group_pool.js';
@@ -19,6 +21,7 @@
 let group: FakeGroup;
 let pool: GroupPool;
 let promote: Promote;
+let lineage: GroupLineage | null;
 let acked: number;
 let next: number;
 
@@ -63,13 +66,13 @@
         entries: group.readEntries(),
         readAt: runtime.now(),
       }),
-      lineage: null,
+      lineage,
     },
     readFakeStatus,
   );
 }
 
-function write(): void {
+function send(parts: Partial<RunMessage>): void {
   const request = `r${next++}`;
   pool.run('b-1', {
     type: 'run',
@@ -85,9 +88,14 @@
     priority: 0,
     targetLeftMs: 100,
     timeoutLeftMs: 800,
+    ...parts,
   });
 }
 
+function write(): void {
+  send({});
+}
+
 function crash(number: number): FakeEndpoint {
   const endpoint = group.get(`${GROUP}-${number}`);
   endpoint.isUnresponsive = true;
@@ -122,6 +130,7 @@
   acked = 0;
   next = 1;
   promote = call => group.promote(call);
+  lineage = null;
   pool = openPool();
   await advanceTime(300);
 });
@@ -219,3 +228,38 @@
     },
   );
 });
+
+describe('a new owner that learns of a promotion that its predecessor called', () => {
+  knownRed('runs reads at the promoted primary before its first write', async () => {
+    pool.close();
+    group.hasCommitTerms = true;
+    crash(1);
+    for (const [number, length] of [5, 7].entries()) {
+      const replica = group.get(`${GROUP}-${number + 2}`);
+      replica.received = length;
+      replica.applied = length;
+    }
+    lineage = {
+      members: [1, 2, 3].map(number => ({
+        endpoint: `${GROUP}-${number}`,
+        startedAt: 1,
+      })),
+      term: 1,
+      promoting: [`${GROUP}-2`],
+    };
+    pool = openPool();
+    await advanceTime(200);
+    void group.promote({
+      group: GROUP,
+      endpoint: `${GROUP}-2`,
+      generation: 6,
+      maySend: () => true,
+      signal: new AbortController().signal,
+    });
+    await advanceTime(2_000);
+    expect(group.get(`${GROUP}-3`).received).toBe(5);
+    send({statement: {type: 'run', access: 'read', text: 'FETCH x'}});
+    await advanceTime(900);
+    expect(acked).toBe(1);
+  });
+});
