Count the runs of one endpoint as one place of a commit

Cause: a new owner counted each run on its own. An endpoint that restarted and then crashed was two of four logs, and three reports were needed of two that live. But a commit is acknowledged when different endpoints hold it at once, so two runs of one endpoint never both count for it.

Evidence: "counts the runs of one endpoint as one place" failed: no promotion within 2 s.

Change: the reports are enough once no more than syncReplicas endpoints have a run that may hold commits and has not reported. A restarted endpoint whose earlier run counts is still waited for if another one is silent as well.

--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -978,6 +978,19 @@
     expect(group.promotions).toEqual([]);
   });
 
+  // The earlier run of the crashed endpoint was counted as one more place.
+  it('counts the runs of one endpoint as one place', async () => {
+    lineage = {
+      members: [runOf(1, 0), runOf(1), runOf(2), runOf(3)],
+      term: 1,
+      promoting: [],
+    };
+    await changeOwner(3);
+    pool = openPool();
+    await advanceTime(2_000);
+    expect(group.promotions).toHaveLength(1);
+  });
+
   it('says once why no promotion is requested', async () => {
     lineage = {
       members: [runOf(1), runOf(2), runOf(3, 0)],
--- a/packages/pooler/src/owner/acks.ts
+++ b/packages/pooler/src/owner/acks.ts
@@ -33,10 +33,13 @@
   if (pool.read().base !== null) {
     return;
   }
-  const states = pool.endpoints.list();
+  const reporters = pool.endpoints.list().filter(({status}) => status !== null);
   const base = findCoveringPosition(
-    states.flatMap(({status}) => status?.received ?? []),
-    countReportsNeeded(pool),
+    reporters.map(({status}) => status!.received),
+    countReportsNeeded(
+      pool,
+      reporters.map(({entry}) => entry.id),
+    ),
   );
   if (base === null) {
     return;
--- a/packages/pooler/src/owner/members.ts
+++ b/packages/pooler/src/owner/members.ts
@@ -1,9 +1,10 @@
 /**
- * Tracks the endpoints whose logs may hold acknowledged commits. A new owner
- * needs the reports of all but `syncReplicas` of them, listed or not, to know
- * every acknowledged commit.
+ * Tracks the endpoint runs whose logs may hold acknowledged commits, listed or
+ * not. A new owner knows every acknowledged commit once no more than
+ * `syncReplicas` endpoints have such a run that has not reported.
  */
 
+import type {EndpointId} from '@lacewingroad/core';
 import type {EndpointRun, GroupLineage} from '../model/ownership.js';
 import {isAtLeast} from '../decisions/positions.js';
 import {getAckedUpperBound, getSyncReplicas} from './acks.js';
@@ -87,16 +88,27 @@
 }
 
 /**
- * Returns how many endpoints have to report their logs until one of them has
- * every acknowledged commit. Each such commit is at its primary and at
- * `syncReplicas` replicas.
+ * Returns how many endpoints have to report their logs, given those that have,
+ * until one of them has every acknowledged commit. Each such commit was at its
+ * primary and at `syncReplicas` replicas, all at once, so that the runs of one
+ * endpoint count as one place that it may be at.
  */
-export function countReportsNeeded(pool: Pool): number {
+export function countReportsNeeded(
+  pool: Pool,
+  reporters: readonly EndpointId[],
+): number {
   const syncReplicas = getSyncReplicas(pool);
   if (syncReplicas === 0) {
     return Math.max(1, pool.endpoints.count());
   }
-  const needed = Math.max(1, pool.members.count() - syncReplicas);
+  const silent = pool.members
+    .list()
+    .filter(
+      ({endpoint, leftAt}) => leftAt !== null || !reporters.includes(endpoint),
+    );
+  const places = new Set(silent.map(({endpoint}) => endpoint));
+  const missing = Math.max(0, places.size - syncReplicas);
+  const needed = Math.max(1, reporters.length + missing);
   // Without a record of the members, others may have left unnoticed.
   return pool.cfg.lineage === null
     ? Math.max(needed, syncReplicas + 1)
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -273,7 +273,10 @@
   const requirements = {
     acked: getAckedUpperBound(pool),
     surelyAcked: state.surelyAcked,
-    reportsNeeded: countReportsNeeded(pool),
+    reportsNeeded: countReportsNeeded(
+      pool,
+      candidates.map(({id}) => id),
+    ),
   };
   if (state.isSettling) {
     recordWait(pool, 'settling', candidates, requirements);
