Use no old primary again while an unseen endpoint may have replaced it

What callers saw: writes that were committed at the old primary after a promotion had taken effect, and acknowledged (ONE). They are gone once the promoted endpoint is back.

Cause: 2.5 s after a call, the owner took it for void. A promoted endpoint that crashes at once, or that the owner can't reach, was never seen as a primary; if the old one answered again, it served writes.

Change: a call counts as void only if its endpoint still reports that it is a replica. Otherwise the platform is asked to promote the old primary, which changes nothing if it still leads, and makes it lead a new term if not.

The next owner does not know which calls of its predecessor were taken for void (open).

--- a/packages/pooler/src/__tests__/fake_group.ts
+++ b/packages/pooler/src/__tests__/fake_group.ts
@@ -21,6 +21,7 @@
   readonly request: string | null;
   readonly text: string;
   readonly index: number;
+  readonly term: number;
   /** The prepared shape that it executed, or null. */
   readonly shape: string | null;
 }
@@ -364,6 +365,7 @@
           request,
           text: describe(command),
           index: getPosition(endpoint).index,
+          term: endpoint.term,
           shape,
         });
       }
@@ -473,7 +475,7 @@
         return Promise.resolve({type: 'rejected', detail: 'not running'});
       }
       runtime.at(runtime.now() + fakeGroup.promotionMs, () => {
-        if (endpoint.isUnresponsive) {
+        if (endpoint.isUnresponsive || endpoint === findPrimary()) {
           return;
         }
         const term = Math.max(...[...endpoints.values()].map(e => e.term)) + 1;
--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -1138,6 +1138,39 @@
     },
   );
 
+  /** Promotes endpoint 2, which takes effect and is not seen by anybody. */
+  async function promoteUnseen(): Promise<void> {
+    await writeFor(200);
+    const [primary, next, other] = [1, 2, 3].map(n =>
+      group.get(`${GROUP}-${n}`),
+    );
+    other!.unheard.add(next!.entry.id);
+    primary!.unheard.add(next!.entry.id);
+    primary!.isUnresponsive = true;
+    primary!.reset();
+    group.onPromoted = ({entry}) => {
+      if (entry.id === next!.entry.id) {
+        next!.isUnresponsive = true;
+        next!.reset();
+      }
+    };
+    await advanceTime(500);
+    expect(group.promotions).toMatchObject([{endpoint: `${GROUP}-2`}]);
+    primary!.isUnresponsive = false;
+  }
+
+  // A promoted endpoint that was lost at once counted as never promoted.
+  it('keeps the old primary out until the platform knows it again', async () => {
+    await promoteUnseen();
+    const promotedAt = runtime.now() + 500;
+    await writeFor(5_000);
+    const stale = group.ran.filter(({at, term}) => at > promotedAt && term < 3);
+    expect(stale).toHaveLength(0);
+    const last = group.promotions.at(-1)!.endpoint;
+    expect(group.get(last).term).toBe(3);
+    expect(await writeFor(200)).toBeGreaterThan(0);
+  });
+
   it('keeps the old primary out at the next owner', async () => {
     await writeFor(200);
     pool.close();
--- a/packages/pooler/src/owner/limits.ts
+++ b/packages/pooler/src/owner/limits.ts
@@ -44,6 +44,11 @@
 export const DRAIN_TIMEOUT_MS = 900;
 /** Time for an accepted promotion to take effect before a retry, in ms. */
 export const PROMOTE_TIMEOUT_MS = 2_500;
+/**
+ * Time for the platform to promote the old primary again, in ms, if another one
+ * had replaced it; it usually takes 600 ms.
+ */
+export const CONFIRM_PRIMARY_MS = 1_000;
 /** Delay before the next promotion call after one that failed, in ms. */
 export const PROMOTE_RETRY_MS = 300;
 /**
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -1,5 +1,6 @@
 /** Replaces a primary that is down, failing, leaving, or cannot replicate. */
 
+import type {EndpointId} from '@lacewingroad/core';
 import {waitUntil} from '@lacewingroad/runtime';
 import type {PromoteResult} from '../ports.js';
 import {chooseCandidate} from '../decisions/candidate.js';
@@ -9,6 +10,7 @@
 import {getAckedUpperBound, getSyncReplicas, learnBase} from './acks.js';
 import {closeTx} from './jobs.js';
 import {
+  CONFIRM_PRIMARY_MS,
   FAILING_MS,
   GIVE_UP_LEFT_MS,
   FAILING_COOLDOWN_MS,
@@ -24,6 +26,7 @@
   cancelCalls,
   closeCall,
   hasOpenCalls,
+  mayHavePromoted,
   openCall,
   removeSettledCalls,
 } from './promotion_calls.js';
@@ -180,6 +183,7 @@
       startedAt: now,
       drainDeadline: now + DRAIN_TIMEOUT_MS,
       candidate: null,
+      called: pool.read().calls.map(({endpoint}) => endpoint),
       waitReason: null,
       nextAt: now,
     },
@@ -261,6 +265,12 @@
     RECOVERABLE_REASONS.has(promotion.reason) &&
     !hasOpenCalls(pool) &&
     isPrimaryUp;
+  if (hasRecovered && mayHavePromoted(pool, promotion)) {
+    if (!state.isSettling) {
+      confirmPrimary(pool, current.endpoint);
+    }
+    return;
+  }
   if (hasRecovered) {
     pool.update({promotion: null});
     pool.cfg.ports.record('info', 'promotion_dropped', {
@@ -300,6 +310,24 @@
   }
 }
 
+/**
+ * Requests the promotion of the old primary that answers again. It may have been
+ * replaced by an endpoint that nobody sees.
+ */
+function confirmPrimary(pool: Pool, endpoint: EndpointId): void {
+  const {entry, status, faults} = pool.endpoints.get(endpoint)!;
+  if (status === null) {
+    return;
+  }
+  void requestPromotion(pool, {
+    id: endpoint,
+    received: status.received,
+    isLeaving: entry.isLeaving,
+    isFailing: isFailing(faults, pool.now()),
+    isNear: false,
+  });
+}
+
 /**
  * Stops to wait for endpoints that left long ago and have not been replaced.
  * Their commits may be lost, but nothing else would ever serve the group again.
@@ -334,6 +362,8 @@
   const startedAt = pool.now();
   const generation = readGeneration();
   const controller = new AbortController();
+  const isCurrent = pool.read().primary?.endpoint === candidate.id;
+  const effectMs = isCurrent ? CONFIRM_PRIMARY_MS : PROMOTE_TIMEOUT_MS;
   updatePromotion(pool, {
     phase: 'calling',
     candidate: candidate.id,
@@ -371,7 +401,8 @@
     took_ms: Math.round(pool.now() - startedAt),
   });
   if (MAY_TAKE_EFFECT.has(result.type)) {
-    awaitEffect(pool, call);
+    awaitEffect(pool, call, effectMs);
+    noteCalled(pool, candidate.id, isCurrent && result.type === 'accepted');
   } else {
     closeCall(pool, call);
   }
@@ -386,7 +417,22 @@
   const isAccepted = result.type === 'accepted';
   updatePromotion(pool, {
     phase: isAccepted ? 'awaiting' : 'choosing',
-    nextAt: pool.now() + (isAccepted ? PROMOTE_TIMEOUT_MS : PROMOTE_RETRY_MS),
+    nextAt: pool.now() + (isAccepted ? effectMs : PROMOTE_RETRY_MS),
+  });
+}
+
+/**
+ * Notes an endpoint that may have been promoted. The platform's promotion of the
+ * current primary replaces all that came before, or changes nothing.
+ */
+function noteCalled(
+  pool: Pool,
+  endpoint: EndpointId,
+  isConfirmation: boolean,
+): void {
+  const called = pool.read().promotion?.called ?? [];
+  updatePromotion(pool, {
+    called: isConfirmation ? [] : [...new Set([...called, endpoint])],
   });
 }
 
--- a/packages/pooler/src/owner/promotion_calls.ts
+++ b/packages/pooler/src/owner/promotion_calls.ts
@@ -5,8 +5,8 @@
  */
 
 import type {EndpointId} from '@lacewingroad/core';
-import {PROMOTE_TIMEOUT_MS} from './limits.js';
-import type {Pool, PromotionCall} from './state.js';
+import {PROMOTE_TIMEOUT_MS, STATUS_TIMEOUT_MS} from './limits.js';
+import type {Pool, Promotion, PromotionCall} from './state.js';
 
 /** Returns whether a requested promotion may still take effect. */
 export function hasOpenCalls(pool: Pool): boolean {
@@ -49,14 +49,34 @@
 }
 
 /** Notes that a request was sent; it takes effect soon or never. */
-export function awaitEffect(pool: Pool, id: number): void {
-  const settledAt = pool.now() + PROMOTE_TIMEOUT_MS;
+export function awaitEffect(
+  pool: Pool,
+  id: number,
+  timeoutMs = PROMOTE_TIMEOUT_MS,
+): void {
+  const settledAt = pool.now() + timeoutMs;
   const calls = pool
     .read()
     .calls.map(call => (call.id === id ? {...call, settledAt} : call));
   pool.update({calls});
 }
 
+/**
+ * Returns whether another endpoint may have been promoted unseen. One that still
+ * reports that it is a replica was not.
+ */
+export function mayHavePromoted(pool: Pool, {called}: Promotion): boolean {
+  return called.some(id => {
+    const state = pool.endpoints.get(id);
+    const isSeen =
+      state !== undefined &&
+      state.status?.role === 'replica' &&
+      state.downSince === null &&
+      pool.now() - (state.statusRequestedAt ?? -Infinity) < STATUS_TIMEOUT_MS;
+    return !isSeen;
+  });
+}
+
 /** Removes requests that are too old to take effect. */
 export function removeSettledCalls(pool: Pool): void {
   const {calls} = pool.read();
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -157,6 +157,8 @@
   readonly startedAt: Instant;
   readonly drainDeadline: Instant;
   readonly candidate: EndpointId | null;
+  /** Endpoints whose promotion may have taken effect, seen or not. */
+  readonly called: readonly EndpointId[];
   /** The last recorded reason for which no promotion is requested. */
   readonly waitReason: WaitReason | null;
   /** When the next step is due. */
