--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -73,7 +73,10 @@
   readonly listTableWatchers: () => readonly string[];
   /** Replaces the table in the store. */
   readonly setTable: (table: RouteTable) => void;
-  /** Pairs of hosts, or of a host and `store`, that cannot reach each other. */
+  /**
+   * Pairs of hosts, or of a host and `store` or an endpoint, that cannot reach
+   * each other.
+   */
   readonly cutPairs: Set<string>;
   readonly get: (name: string) => FleetHost;
   readonly passTime: (ms: number) => Promise<void>;
@@ -279,15 +282,30 @@
         reply: (caller, reply) =>
           replies.push({caller, at: runtime.now(), reply}),
         closeCaller: caller => closedCallers.add(caller),
-        openConn: (entry, handlers) =>
-          group.openConn(entry, {
-            onReady: position =>
-              deliver(name, () => handlers.onReady(position)),
-            onRefused: fault => deliver(name, () => handlers.onRefused(fault)),
-            onClosed: detail => deliver(name, () => handlers.onClosed(detail)),
-          }),
+        openConn: (entry, handlers) => {
+          const receive = (fn: () => void): void => {
+            if (!isCut(name, entry.id)) {
+              deliver(name, fn);
+            }
+          };
+          const link = group.openConn(entry, {
+            onReady: position => receive(() => handlers.onReady(position)),
+            onRefused: fault => receive(() => handlers.onRefused(fault)),
+            onClosed: detail => receive(() => handlers.onClosed(detail)),
+          });
+          return {
+            send: (command, request, after, onReply) => {
+              if (!isCut(name, entry.id)) {
+                link.send(command, request, after, reply =>
+                  receive(() => onReply(reply)),
+                );
+              }
+            },
+            close: link.close,
+          };
+        },
         send: (to, msg) => send(name, to, msg),
-        promote: group.promote,
+        promote: call => group.promote(call),
         watchEndpoints: onList => {
           const watch = {name, onList};
           endpointWatches.add(watch);
@@ -431,7 +449,7 @@
       }
     },
     heal: name => {
-      [...hosts.keys(), 'store'].forEach(other =>
+      [...hosts.keys(), 'store', ...group.endpoints.keys()].forEach(other =>
         cutPairs.delete(pairKey(name, other)),
       );
       notifyWatches();
--- a/packages/pooler/src/__tests__/fake_group.ts
+++ b/packages/pooler/src/__tests__/fake_group.ts
@@ -93,7 +93,7 @@
   /** Commands of all connections, in the order in which they ran. */
   readonly commands: {conn: number; type: string; request: string | null}[];
   readonly openConn: OpenEndpointConn;
-  readonly promote: Promote;
+  promote: Promote;
   readonly readEntries: () => ReadonlyMap<string, EndpointEntry>;
   readonly get: (id: string) => FakeEndpoint;
 }
