--- a/packages/pooler/src/__tests__/fake_group.ts
+++ b/packages/pooler/src/__tests__/fake_group.ts
@@ -21,6 +21,7 @@
   readonly request: string | null;
   readonly text: string;
   readonly index: number;
+  readonly term: number;
   /** The prepared shape that it executed, or null. */
   readonly shape: string | null;
 }
@@ -92,7 +93,7 @@
   /** Commands of all connections, in the order in which they ran. */
   readonly commands: {conn: number; type: string; request: string | null}[];
   readonly openConn: OpenEndpointConn;
-  readonly promote: Promote;
+  promote: Promote;
   readonly readEntries: () => ReadonlyMap<string, EndpointEntry>;
   readonly get: (id: string) => FakeEndpoint;
 }
@@ -366,6 +367,7 @@
           request,
           text: describe(command),
           index: getPosition(endpoint).index,
+          term: endpoint.term,
           shape,
         });
       }
@@ -475,7 +477,7 @@
         return Promise.resolve({type: 'rejected', detail: 'not running'});
       }
       runtime.at(runtime.now() + fakeGroup.promotionMs, () => {
-        if (endpoint.isUnresponsive) {
+        if (endpoint.isUnresponsive || endpoint === findPrimary()) {
           return;
         }
         const term = Math.max(...[...endpoints.values()].map(e => e.term)) + 1;
