Use the old primary again if its confirmation got no answer and its successor is seen

What callers saw: no write ran, though the old primary answered and all others reported that they are replicas, as long as the platform gave no answer.

Cause: a call that asks the platform to confirm the old primary was noted like one for a successor. Without an answer, the owner waited until the old primary reports that it is a replica, which it never does.

Change: only calls for other endpoints are noted.

--- a/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
+++ b/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
@@ -3,7 +3,7 @@
  * endpoints does not say so yet; in virtual time.
  */
 
-import {beforeEach, describe, expect} from 'vitest';
+import {beforeEach, describe, expect, it} from 'vitest';
 import {createVirtualRuntime} from '@lacewingroad/runtime';
 import type {VirtualRuntime} from '@lacewingroad/runtime';
 import type {RunMessage} from '../../model/message.js';
@@ -204,29 +204,26 @@
 });
 
 describe('a primary that answers again', () => {
-  knownRed(
-    'is used again without the platform once the called replica is seen',
-    async () => {
-      const called: string[] = [];
-      promote = ({endpoint}) => {
-        called.push(endpoint);
-        return Promise.resolve({type: 'unknown', detail: 'no answer'});
-      };
-      crash(1);
-      await advanceTime(1_500);
-      crash(2);
-      crash(3);
-      group.get(`${GROUP}-1`).isUnresponsive = false;
-      await advanceTime(4_000);
-      group.get(`${GROUP}-2`).isUnresponsive = false;
-      group.get(`${GROUP}-3`).isUnresponsive = false;
-      await advanceTime(6_000);
-      write();
-      await advanceTime(900);
-      expect(called).not.toEqual([]);
-      expect(acked).toBe(1);
-    },
-  );
+  it('is used again without the platform once the called replica is seen', async () => {
+    const called: string[] = [];
+    promote = ({endpoint}) => {
+      called.push(endpoint);
+      return Promise.resolve({type: 'unknown', detail: 'no answer'});
+    };
+    crash(1);
+    await advanceTime(1_500);
+    crash(2);
+    crash(3);
+    group.get(`${GROUP}-1`).isUnresponsive = false;
+    await advanceTime(4_000);
+    group.get(`${GROUP}-2`).isUnresponsive = false;
+    group.get(`${GROUP}-3`).isUnresponsive = false;
+    await advanceTime(6_000);
+    write();
+    await advanceTime(900);
+    expect(called).not.toEqual([]);
+    expect(acked).toBe(1);
+  });
 });
 
 describe('a new owner that learns of a promotion that its predecessor called', () => {
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -402,7 +402,7 @@
   });
   if (MAY_TAKE_EFFECT.has(result.type)) {
     awaitEffect(pool, call, effectMs);
-    noteCalled(pool, candidate.id, isCurrent && result.type === 'accepted');
+    noteCalled(pool, candidate.id, result.type);
   } else {
     closeCall(pool, call);
   }
@@ -422,18 +422,24 @@
 }
 
 /**
- * Notes an endpoint that may have been promoted. The platform's promotion of the
- * current primary replaces all that came before, or changes nothing.
+ * Notes an endpoint other than the primary that may have been promoted. A
+ * confirmed promotion of the primary replaces all that came before, or changes
+ * nothing; one without an answer tells nothing.
  */
 function noteCalled(
   pool: Pool,
   endpoint: EndpointId,
-  isConfirmation: boolean,
+  result: PromoteResult['type'],
 ): void {
-  const called = pool.read().promotion?.called ?? [];
-  updatePromotion(pool, {
-    called: isConfirmation ? [] : [...new Set([...called, endpoint])],
-  });
+  const {primary, promotion} = pool.read();
+  const called = promotion?.called ?? [];
+  if (primary?.endpoint !== endpoint) {
+    updatePromotion(pool, {called: [...new Set([...called, endpoint])]});
+    return;
+  }
+  if (result === 'accepted') {
+    updatePromotion(pool, {called: []});
+  }
 }
 
 /** Results of requests that take effect, now or later. */
