Replace a primary that starts again as an empty replica

What callers saw: no write ran for 6 s and more after the primary had started again under its id, with nothing of its log.

Cause: a new run in the list got a state that counted as up, so a promotion that had begun was dropped ("the primary answers again"), and a primary that reports that it is a replica was no reason to begin one.

Change: a run that replaces another counts as down until it answers; a primary that reports that it is a replica is replaced.

--- a/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
+++ b/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
@@ -262,7 +262,7 @@
 });
 
 describe('a primary that starts again with an empty log, as a replica', () => {
-  knownRed('is replaced once the list tells of the restart', async () => {
+  it('is replaced once the list tells of the restart', async () => {
     [1, 2, 3].forEach(write);
     await advanceTime(40);
     expect(acked).toBe(3);
--- a/packages/pooler/src/owner/group_pool.ts
+++ b/packages/pooler/src/owner/group_pool.ts
@@ -98,7 +98,9 @@
     const isRestarted =
       known !== undefined && known.entry.startedAt !== entry.startedAt;
     if (known === undefined || isRestarted) {
-      pool.endpoints.put(entry.id, createEndpointState(entry));
+      // A run that replaces another has not answered yet.
+      const downSince = isRestarted ? (known.downSince ?? now) : null;
+      pool.endpoints.put(entry.id, {...createEndpointState(entry), downSince});
       ports.record('info', 'endpoint_listed', {
         group,
         endpoint: entry.id,
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -97,10 +97,13 @@
   if (state === undefined) {
     return 'down';
   }
-  const {downSince, entry} = state;
+  const {downSince, entry, status} = state;
   if (downSince !== null && pool.now() - downSince >= PRIMARY_DOWN_MS) {
     return 'down';
   }
+  if (status?.role === 'replica') {
+    return 'down';
+  }
   if (entry.isLeaving) {
     return 'leaving';
   }
