Forget an endpoint's report with the connection that it came over

What callers saw: all acknowledged commits gone (LOST): a replica that had restarted with an empty log was promoted for what it had reported before.

Cause: a report counted as long as it was newer than the start of the change of primary. A replica may restart after it, and answer busy to the next status probe.

Change: a lost probe connection makes the report too old to count.

--- a/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
+++ b/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
@@ -153,7 +153,7 @@
     },
   );
 
-  knownRed(
+  it(
     'is not replaced by a replica whose report is older than its restart',
     async () => {
       group.get(`${GROUP}-3`).isDeaf = true;
--- a/packages/pooler/src/owner/status.ts
+++ b/packages/pooler/src/owner/status.ts
@@ -214,6 +214,8 @@
       lastAttemptAt: pool.now(),
     });
     markDown(pool, id, detail);
+    // The endpoint may have restarted without its log.
+    pool.endpoints.update(id, {statusRequestedAt: null});
   };
 
   const open = (state: EndpointState): void => {
