Hand a group over although its last renewal was not answered

What callers saw: no owner for the time of a takeover, 1.5 s, after a stop.

Cause: the store had executed a renewal and lost its answer. The write of the hand-over met a conflict with that renewal, the owner's own record, and nobody wrote again, because a stopping host claims nothing.

The hand-over is written again on the record of the conflict if it is the owner's own. The owner has stopped acting before the first try.

Evidence: 'is handed over although the last renewal was not answered' failed before: no owner in the 600 ms that the test watches, under 300 ms now.

--- a/packages/pooler/src/__tests__/unit/ownership.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership.test.ts
@@ -239,6 +239,19 @@
     expect(readOwner()).not.toBe(owner);
   });
 
+  it('is handed over although the last renewal was not answered', async () => {
+    const {revision} = fleet.store.record!;
+    fleet.disturbStore(owner, {lostShare: 1, failMs: 5});
+    while (fleet.store.record!.revision === revision) {
+      await fleet.passTime(1);
+    }
+    await fleet.passTime(20);
+    fleet.store.faults.delete(owner);
+    void fleet.get(owner).host.handOver();
+    expect(await measureOwnerGap(600)).toBeLessThan(300);
+    expect(readOwner()).not.toBe(owner);
+  });
+
   // The next owner let the old primary acknowledge commits, which were lost
   // when the promotion took effect.
   it('is not handed over while a requested promotion may take effect', async () => {
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -472,6 +472,31 @@
     });
   };
 
+  /** Writes the record of a group that is handed over. */
+  const writeRelease = async (
+    stored: StoredOwnership,
+    next: HostAddress,
+    lineage: GroupLineage | null,
+  ): Promise<WriteResult> => {
+    const {group, deputies} = stored.ownership;
+    const ownership: Ownership = {
+      ...stored.ownership,
+      owner: next,
+      incarnation: '',
+      generation: stored.revision + 1,
+      deputies: deputies.filter(({host}) => host !== next.host),
+      lineage,
+    };
+    const result = await write(ownership, stored);
+    record('info', 'ownership_released', {
+      group,
+      to: next.host,
+      outcome: result.type,
+      generation: ownership.generation,
+    });
+    return result;
+  };
+
   /** Starts to act as the owner. */
   const startOwnership = (
     group: GroupId,
@@ -865,23 +890,12 @@
       if (stored === null || next === undefined) {
         return;
       }
-      const ownership: Ownership = {
-        ...stored.ownership,
-        owner: next,
-        incarnation: '',
-        generation: stored.revision + 1,
-        deputies: stored.ownership.deputies.filter(
-          ({host}) => host !== next.host,
-        ),
-        lineage,
-      };
-      const result = await write(ownership, stored);
-      record('info', 'ownership_released', {
-        group,
-        to: next.host,
-        outcome: result.type,
-        generation: ownership.generation,
-      });
+      let result = await writeRelease(stored, next, lineage);
+      const current = getState(group).stored!;
+      if (result.type === 'conflict' && isOwnRecord(current.ownership)) {
+        // A renewal without an answer had been executed.
+        result = await writeRelease(current, next, lineage);
+      }
       if (result.type === 'written') {
         broadcastRecord(group);
       }
