Hand a group to another host when its owner has no deputy that goes on

What callers saw: BUSY for all groups of a stopped owner, for 5.8 to 9.0 s, until it was started again. No other host could take the groups over.

Cause: a stopping owner hands a group to a reachable deputy. With none (it had just claimed the group alone, or its deputies stop as well) it gave the group up and wrote nothing. A takeover needs a deputy's consent, so it waited for the former owner.

"hands a group to another host when its deputies stop as well" fails before.

Change: without such a deputy the group goes to the first of the hosts that would become deputies. The record is written by the former owner as for any hand-over, so no promise is touched.

--- a/packages/pooler/src/__tests__/unit/closing.test.ts
+++ b/packages/pooler/src/__tests__/unit/closing.test.ts
@@ -132,6 +132,22 @@
     });
   }
 
+  // The group was left without an owner until its last one came back.
+  it('hands a group to another host when its deputies stop as well', async () => {
+    const owner = fleet.listActiveOwners()[0]!;
+    const stopping = [
+      ...fleet.store.record!.ownership.deputies.map(({host}) => host),
+      owner,
+    ];
+    for (const name of stopping) {
+      void fleet.get(name).host.handOver();
+      await fleet.passTime(20);
+    }
+    await fleet.passTime(500);
+    expect(fleet.listActiveOwners()).toHaveLength(1);
+    expect(stopping).not.toContain(fleet.listActiveOwners()[0]);
+  });
+
   // Its statements were sent to the former owner until their deadline.
   it('refuses statements at once when no host takes over', async () => {
     fleet.hosts.forEach(({host}) => void host.handOver());
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -789,7 +789,8 @@
       const deputy = stored?.ownership.deputies.find(({host}) =>
         cfg.isReachable(host),
       );
-      const next = to ?? deputy;
+      // Without a deputy that goes on, nobody could take the group over later.
+      const next = to ?? deputy ?? pickDeputies(group)[0];
       const lineage = stored === null ? null : findLineage(stored.ownership);
       dropOwnership(group, 'handed over');
       records.update(group, {isReleasing: false});
