Read new connections before a stopping host ends

Cause: one turn of the event loop accepts a connection, the next one reads it. callAfterInput waited for one.

--- a/packages/runtime/src/system_runtime.ts
+++ b/packages/runtime/src/system_runtime.ts
@@ -28,11 +28,12 @@
 }
 
 /**
- * Calls back after a whole turn of the event loop, in which each socket with
- * input is read. The first of two immediates may end a turn that began before.
+ * Calls back once the input that has arrived was read, also that of connections
+ * which wait to be accepted: one turn of the event loop accepts them, and the
+ * next one reads. The first immediate may end a turn that began before.
  */
 export function callAfterInput(then: () => void): void {
-  setImmediate(() => setImmediate(then));
+  setImmediate(() => setImmediate(() => setImmediate(then)));
 }
 
 /** Creates the runtime for daemons and tools. */
