--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -355,3 +355,11 @@
     detail,
   });
 }
+
+/** Updates the change of primary that is in progress, if there is one. */
+export function updatePromotion(pool: Pool, part: Partial<Promotion>): void {
+  const {promotion} = pool.read();
+  if (promotion !== null) {
+    pool.update({promotion: {...promotion, ...part}});
+  }
+}
