Recognize the workspaces of callers by their keys

Cause: a configuration may name workspaces with keys. Nothing read them, so every caller was served without a key and endpoints were told a fixed name. Change: the table holds workspaces with the digests of their keys; the entry checks a key at CONNECT and before each statement, the owner once more against its own table unless that is older. Statements carry the workspace and the database. Types and texts of the entry move to files of their own. Measured: nothing yet; endpoints are still told the fixed name.

--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -153,11 +153,13 @@
         timeoutMs: 800,
         targetMs: 150,
         priority: 0,
+        isPublic: false,
       },
     ],
   ]),
   groups: new Map([[GROUP, {maxConnections: 23, syncReplicas: 1}]]),
   txIdleMs: 3_000,
+  workspaces: null,
 };
 
 /** Creates and starts a fleet with `hostsPerCentre` hosts per data centre. */
--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -76,6 +76,7 @@
         routes: new Map(),
         groups: new Map([[GROUP, {maxConnections: 12, syncReplicas: 1}]]),
         txIdleMs: 3_000,
+        workspaces: null,
       }),
       readEndpoints: () => ({
         entries: new Map(
@@ -97,6 +98,10 @@
     request,
     callerRequest: request,
     group: GROUP,
+    database: 'db',
+    workspace: null,
+    keyDigest: null,
+    tableVersion: 1,
     tx: null,
     statement: {type: 'run', access: 'read', text: 'FETCH x'},
     session: {values: []},
--- a/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
+++ b/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
@@ -60,6 +60,7 @@
         routes: new Map(),
         groups: new Map([[GROUP, {maxConnections: 12, syncReplicas: 1}]]),
         txIdleMs: 3_000,
+        workspaces: null,
       }),
       readEndpoints: () => ({
         entries: group.readEntries(),
@@ -78,6 +79,10 @@
     request,
     callerRequest: request,
     group: GROUP,
+    database: 'db',
+    workspace: null,
+    keyDigest: null,
+    tableVersion: 1,
     tx: null,
     statement: {type: 'run', access: 'write', text: 'PUT x 1'},
     session: {values: []},
--- a/packages/pooler/src/entry/caller_reply.ts
+++ b/packages/pooler/src/entry/caller_reply.ts
@@ -5,6 +5,8 @@
 /** Kinds of errors that callers receive. */
 export type CallerFault =
   | 'no_database'
+  /** The caller's key is unknown or was revoked. */
+  | 'not_authorized'
   | 'bad_request'
   | 'not_prepared'
   /** `busy` and `aborted`: the attempt had no effect. */
--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -1,18 +1,20 @@
 /** Serves callers: their sessions, transactions and statements. */
 
-import type {GroupId, HostId, LogPosition} from '@lacewingroad/core';
+import type {GroupId, HostId} from '@lacewingroad/core';
 import type {Instant, Unregister} from '@lacewingroad/runtime';
+import {checkAccess} from '../decisions/access.js';
 import {isCommitting, isRetryable} from '../decisions/effects.js';
 import {latestOf} from '../decisions/positions.js';
 import {computeWaitDeadline} from '../decisions/reach.js';
-import type {Route, RouteTable} from '../model/directory.js';
-import type {PoolMessage, PoolStatement, TxRef} from '../model/message.js';
+import type {Route, RouteTable, WorkspaceId} from '../model/directory.js';
+import type {PoolMessage, PoolStatement} from '../model/message.js';
 import {refused, unknown} from '../model/result.js';
 import type {RunResult} from '../model/result.js';
-import type {Access, CallerStatement, TxState} from '../model/statement.js';
+import type {CallerStatement, TxState} from '../model/statement.js';
 import type {HostPorts} from '../ports.js';
 import {createRecords} from '../records.js';
 import type {CallerFault, CallerReply} from './caller_reply.js';
+import {describeFault, FAULT_TEXTS} from './fault_texts.js';
 import {
   CLOSE_INTERVAL_MS,
   DEADLINE_GRACE_MS,
@@ -20,60 +22,12 @@
   RESEND_DELAY_MS,
   SESSION_IDLE_MS,
 } from './limits.js';
+import type {Caller, ReceivedStatement, Request} from './session.js';
 
-/** A transaction of a caller. */
-interface CallerTx {
-  readonly id: string;
-  readonly readOnly: boolean;
+/** What a caller's next statement runs with. */
+interface Admission {
   readonly route: Route;
-  readonly startedAt: Instant;
-  /** Whether one of its statements was sent to a pool. */
-  readonly isSentToPool: boolean;
-  /** Lost or failed: only a commit or rollback is accepted. */
-  readonly isFailed: boolean;
-}
-
-/** A received statement, with the id that the caller gave it. */
-interface ReceivedStatement {
-  readonly request: string;
-  readonly statement: CallerStatement;
-  readonly receivedAt: Instant;
-}
-
-/** A connected caller. */
-interface Caller {
-  readonly id: number;
-  readonly database: string;
-  readonly values: ReadonlyMap<string, string>;
-  readonly prepared: ReadonlyMap<string, {access: Access; shape: string}>;
-  readonly tx: CallerTx | null;
-  /** The newest commit that was acknowledged to the session. */
-  readonly position: LogPosition | null;
-  readonly waiting: readonly ReceivedStatement[];
-  /** The request for the statement in progress, or null. */
-  readonly request: string | null;
-  /** When the session was opened or its last statement was answered. */
-  readonly idleSince: Instant;
-  /** Whether its caller is to continue at another host. */
-  readonly isLeaving: boolean;
-  /** Whether this host has closed its connection. */
-  readonly isClosing: boolean;
-}
-
-/** A statement that a pool has to run. */
-interface Request {
-  readonly id: string;
-  readonly caller: number;
-  readonly callerRequest: string;
-  readonly statement: PoolStatement;
-  readonly tx: TxRef | null;
-  readonly route: Route;
-  readonly receivedAt: Instant;
-  readonly targetAt: Instant;
-  readonly deadline: Instant;
-  /** The owner that it was sent to; null while it waits for an owner. */
-  readonly sentTo: HostId | null;
-  readonly attempts: number;
+  readonly workspace: WorkspaceId | null;
 }
 
 /** Dependencies of the entry. */
@@ -95,15 +49,20 @@
 }
 
 /** The result of opening a session. */
-export type OpenResult = 'opened' | 'no_database' | 'starting' | 'stopping';
+export type OpenResult =
+  'opened' | 'no_database' | 'unknown_key' | 'starting' | 'stopping';
 
 /** Serves the callers of one host. */
 export interface Entry {
   /**
    * Starts a session, unless the host stops, has no table yet, or the database
-   * is unknown.
+   * is unknown or not allowed with this key.
    */
-  readonly open: (caller: number, database: string) => OpenResult;
+  readonly open: (
+    caller: number,
+    database: string,
+    keyDigest?: string | null,
+  ) => OpenResult;
   readonly serve: (
     caller: number,
     request: string,
@@ -140,20 +99,6 @@
   readonly countCallers: () => number;
 }
 
-const FAULT_TEXTS: Readonly<Record<string, string>> = {
-  no_database: 'no such database; check its name',
-  bad_request:
-    'invalid statement, or not allowed in this state; end any open transaction first',
-  not_prepared: 'no such prepared statement; prepare it first',
-  busy: 'not run, nothing was kept; retry it',
-  aborted:
-    'rolled back, nothing was kept; retry the transaction from its start',
-  unknown: 'outcome unknown; check whether it took effect before you retry it',
-  failed: 'it ran and failed; check the statement',
-  timed_out:
-    'it exceeded its time limit; check whether it took effect before you retry it',
-};
-
 /** Creates the entry of a host. */
 export function createEntry(cfg: EntryConfig): Entry {
   const {runtime, record, reply, closeCaller, afterInput} = cfg.ports;
@@ -343,12 +288,6 @@
     answerFault(req.caller, fault, detail);
   };
 
-  const describeFault = (
-    req: Request,
-    fault: CallerFault,
-    reason: string,
-  ): string => `${FAULT_TEXTS[fault] ?? fault} (${reason}, request ${req.id})`;
-
   const RESULT_HANDLERS: {
     readonly [T in RunResult['type']]: (
       req: Request,
@@ -357,12 +296,17 @@
   } = {
     done: finishDone,
     refused: (req, {reason}) => {
+      const caller = callers.get(req.caller);
+      if (reason === 'key_revoked' && caller !== undefined) {
+        refuseAccess(caller);
+        return;
+      }
       const fault = req.tx === null ? 'busy' : 'aborted';
-      finishWithFault(req, fault, describeFault(req, fault, reason));
+      finishWithFault(req, fault, describeFault(fault, reason, req.id));
     },
     failed: (req, {fault, text}) => finishWithFault(req, fault, text),
     unknown: (req, {reason}) =>
-      finishWithFault(req, 'unknown', describeFault(req, 'unknown', reason)),
+      finishWithFault(req, 'unknown', describeFault('unknown', reason, req.id)),
   };
 
   /** Sends a request to the owner, or queues it until there is one. */
@@ -392,6 +336,10 @@
       request: req.id,
       callerRequest: req.callerRequest,
       group: req.route.group,
+      database: req.route.database,
+      workspace: req.workspace,
+      keyDigest: caller.keyDigest,
+      tableVersion: cfg.readTable()?.version ?? 0,
       tx: req.tx,
       statement: req.statement,
       session: {values: [...caller.values]},
@@ -446,7 +394,7 @@
     caller: Caller,
     received: ReceivedStatement,
     statement: PoolStatement,
-    route: Route,
+    {route, workspace}: Admission,
   ): void => {
     const {tx} = caller;
     const id = createId();
@@ -462,6 +410,7 @@
           ? null
           : {id: tx.id, readOnly: tx.readOnly, isFirst: !tx.isSentToPool},
       route,
+      workspace,
       receivedAt: received.receivedAt,
       targetAt: startedAt + route.targetMs,
       deadline,
@@ -480,16 +429,54 @@
     sendRequest(req);
   };
 
-  /** Calls `then` with the caller's route; closes a caller without one. */
-  const withRoute = (caller: Caller, then: (route: Route) => void): void => {
-    const routes = cfg.readTable()?.routes;
-    const route = caller.tx?.route ?? routes?.get(caller.database);
-    if (route === undefined) {
+  /**
+   * Calls `then` with the route and workspace of a caller's next statement;
+   * closes a caller without access. A transaction keeps those that it began
+   * with, and is rolled back if the key of its caller has lost them.
+   */
+  const withAccess = (
+    caller: Caller,
+    then: (admission: Admission) => void,
+  ): void => {
+    const table = cfg.readTable();
+    const {tx, database, keyDigest} = caller;
+    const access =
+      table === null
+        ? ({type: 'no_database'} as const)
+        : checkAccess(table, database, keyDigest);
+    if (access.type === 'unknown_key') {
+      refuseAccess(caller);
+      return;
+    }
+    if (tx !== null) {
+      const isMoved =
+        access.type === 'granted' && access.workspace !== tx.workspace;
+      if (isMoved) {
+        refuseAccess(caller);
+        return;
+      }
+      then({route: tx.route, workspace: tx.workspace});
+      return;
+    }
+    const route = table?.routes.get(database);
+    if (access.type === 'no_database' || route === undefined) {
       answerFault(caller.id, 'no_database');
       closeCaller(caller.id);
       return;
     }
-    then(route);
+    then({route, workspace: access.workspace});
+  };
+
+  /** Rolls back and closes a session whose key has lost its access. */
+  const refuseAccess = (caller: Caller): void => {
+    record('info', 'key_refused', {
+      kind: caller.database,
+      tx: caller.tx?.id ?? null,
+      table_version: cfg.readTable()?.version ?? null,
+    });
+    rollBack(caller);
+    answerFault(caller.id, 'not_authorized');
+    closeCaller(caller.id);
   };
 
   /** Starts a statement that a pool has to run. */
@@ -498,8 +485,8 @@
     received: ReceivedStatement,
     statement: PoolStatement,
   ): void =>
-    withRoute(caller, route =>
-      startRequest(caller, received, statement, route),
+    withAccess(caller, admission =>
+      startRequest(caller, received, statement, admission),
     );
 
   const beginTx = (
@@ -507,7 +494,7 @@
     received: ReceivedStatement,
     readOnly: boolean,
   ): void =>
-    withRoute(caller, route => {
+    withAccess(caller, ({route, workspace}) => {
       if (caller.tx !== null) {
         answerFault(caller.id, 'bad_request');
         return;
@@ -515,6 +502,7 @@
       callers.update(caller.id, {
         tx: {
           id: createId(),
+          workspace,
           readOnly,
           route,
           startedAt: received.receivedAt,
@@ -664,7 +652,7 @@
     runtime.now() + RESEND_DELAY_MS < req.deadline;
 
   return {
-    open: (id, database) => {
+    open: (id, database, keyDigest = null) => {
       if (isRefusing) {
         return 'stopping';
       }
@@ -672,12 +660,14 @@
       if (table === null) {
         return 'starting';
       }
-      if (!table.routes.has(database)) {
-        return 'no_database';
+      const access = checkAccess(table, database, keyDigest);
+      if (access.type !== 'granted') {
+        return access.type;
       }
       callers.put(id, {
         id,
         database,
+        keyDigest,
         values: new Map(),
         prepared: new Map(),
         tx: null,
--- a/packages/pooler/src/model/directory.ts
+++ b/packages/pooler/src/model/directory.ts
@@ -25,6 +25,8 @@
   readonly targetMs: number;
   /** 0 is the highest priority. */
   readonly priority: number;
+  /** Whether callers need no key. */
+  readonly isPublic: boolean;
 }
 
 /** Limits of a group that operators configure. */
@@ -35,6 +37,24 @@
   readonly syncReplicas: number;
 }
 
+/** The name of a workspace. */
+export type WorkspaceId = string;
+
+/** Operations that a workspace may run on all hosts together. */
+export interface RateLimit {
+  readonly perSecond: number;
+  /** Operations that may run at once after a pause. */
+  readonly burst: number;
+}
+
+/** The workspaces, and the keys by which their callers are recognized. */
+export interface WorkspaceDirectory {
+  /** Null for a workspace without a limit. */
+  readonly limits: ReadonlyMap<WorkspaceId, RateLimit | null>;
+  /** Workspaces by the digest of each of their keys. */
+  readonly owners: ReadonlyMap<string, WorkspaceId>;
+}
+
 /** The routing table that is in force. */
 export interface RouteTable {
   readonly version: number;
@@ -42,6 +62,8 @@
   readonly groups: ReadonlyMap<GroupId, GroupLimits>;
   /** A transaction that is idle for this long may be ended, in ms. */
   readonly txIdleMs: number;
+  /** Null if callers need no keys. */
+  readonly workspaces: WorkspaceDirectory | null;
 }
 
 /** A table as hosts send it to each other: lists in place of maps. */
@@ -50,6 +72,17 @@
   readonly routes: readonly Route[];
   readonly groups: readonly (readonly [GroupId, GroupLimits])[];
   readonly txIdleMs: number;
+  /** Missing in the tables of hosts of earlier versions. */
+  readonly workspaces?: PackedWorkspaces | null | undefined;
+}
+
+/** A directory of workspaces as hosts send it to each other. */
+export interface PackedWorkspaces {
+  readonly limits: readonly (readonly [WorkspaceId, RateLimit | null])[];
+  readonly owners: readonly (readonly [
+    digest: string,
+    workspace: WorkspaceId,
+  ])[];
 }
 
 /** Converts a table for sending. */
@@ -58,6 +91,13 @@
     ...table,
     routes: [...table.routes.values()],
     groups: [...table.groups],
+    workspaces:
+      table.workspaces === null
+        ? null
+        : {
+            limits: [...table.workspaces.limits],
+            owners: [...table.workspaces.owners],
+          },
   };
 }
 
@@ -67,6 +107,13 @@
     ...packed,
     routes: new Map(packed.routes.map(route => [route.database, route])),
     groups: new Map(packed.groups),
+    workspaces:
+      packed.workspaces == null
+        ? null
+        : {
+            limits: new Map(packed.workspaces.limits),
+            owners: new Map(packed.workspaces.owners),
+          },
   };
 }
 
--- a/packages/pooler/src/model/message.ts
+++ b/packages/pooler/src/model/message.ts
@@ -1,7 +1,7 @@
 /** Messages between hosts. Deadlines are sent as the milliseconds left. */
 
 import type {GroupId, LogPosition} from '@lacewingroad/core';
-import type {Consistency, PackedTable} from './directory.js';
+import type {Consistency, PackedTable, WorkspaceId} from './directory.js';
 import type {StoredOwnership} from './ownership.js';
 import type {RunResult} from './result.js';
 import type {DataStatement, SessionState} from './statement.js';
@@ -26,6 +26,14 @@
   /** The caller's id of the statement; it is passed to the endpoint. */
   readonly callerRequest: string;
   readonly group: GroupId;
+  /** The database that the caller connected to. */
+  readonly database: string;
+  /** The workspace that the statement runs for; null if callers need no keys. */
+  readonly workspace: WorkspaceId | null;
+  /** Digest of the caller's key, or null. */
+  readonly keyDigest: string | null;
+  /** Version of the table by which the entry host accepted the key. */
+  readonly tableVersion: number;
   readonly tx: TxRef | null;
   readonly statement: PoolStatement;
   readonly session: SessionState;
--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -101,6 +101,7 @@
   timeoutMs: isNumber,
   targetMs: isNumber,
   priority: isNumber,
+  isPublic: optional(isBoolean),
 });
 
 const isGroupLimits: Check = value =>
@@ -108,11 +109,22 @@
   isString(value[0]) &&
   fields({maxConnections: isNumber, syncReplicas: isNumber})(value[1]);
 
+const isRateLimit = fields({perSecond: isNumber, burst: isNumber});
+
+const isWorkspaceLimit: Check = value =>
+  Array.isArray(value) && isString(value[0]) && orNull(isRateLimit)(value[1]);
+
+const isWorkspaces = fields({
+  limits: listOf(isWorkspaceLimit),
+  owners: listOf(listOf(isString)),
+});
+
 const isTable = fields({
   version: isNumber,
   routes: listOf(isRoute),
   groups: listOf(isGroupLimits),
   txIdleMs: isNumber,
+  workspaces: optional(orNull(isWorkspaces)),
 });
 
 const CHECKS_BY_TYPE: Readonly<Record<PoolMessage['type'], Check>> = {
@@ -120,6 +132,10 @@
     request: isString,
     callerRequest: isString,
     group: isString,
+    database: optional(isString),
+    workspace: optional(orNull(isString)),
+    keyDigest: optional(orNull(isString)),
+    tableVersion: optional(isNumber),
     tx: orNull(fields({id: isString, readOnly: isBoolean, isFirst: isBoolean})),
     statement: isStatement,
     session: fields({values: listOf(listOf(isString))}),
--- a/packages/pooler/src/owner/group_pool.ts
+++ b/packages/pooler/src/owner/group_pool.ts
@@ -2,6 +2,7 @@
 
 import type {HostId} from '@lacewingroad/core';
 import type {Unregister} from '@lacewingroad/runtime';
+import {isAccessRevoked} from '../decisions/access.js';
 import {canStartInTime} from '../decisions/admission.js';
 import {isCommitting, isWrite} from '../decisions/effects.js';
 import {areWritesStuck, mayTryWrite} from '../decisions/stuck_writes.js';
@@ -11,6 +12,7 @@
 import {dropConn, ensureConns, maintainConns} from './connections.js';
 import {
   closeTx,
+  closeTxOf,
   endJob,
   createConnLostHandler,
   endJobWithoutLease,
@@ -305,6 +307,12 @@
         attempts: 0,
         avoided: [],
       };
+      if (isAccessRevoked(pool.cfg.readTable(), msg)) {
+        pool.jobs.put(msg.request, job);
+        endJob(pool, job, refused('key_revoked'));
+        closeTxOf(pool, job, 'the key of its caller was revoked');
+        return;
+      }
       const isNew = msg.tx === null || msg.tx.isFirst;
       const isRefused =
         isNew && (pool.read().isHandingOver || !canAdmit(pool, msg));
--- a/packages/pooler/src/owner/jobs.ts
+++ b/packages/pooler/src/owner/jobs.ts
@@ -110,9 +110,7 @@
   });
 }
 
-/**
- * Time after a statement's deadline in which its reply may still arrive, in ms.
- */
+/** Time after a deadline in which a reply may still arrive, in ms. */
 const LATE_REPLY_MS = 500;
 /** Timeout for a rollback, which needs no slot, in ms. */
 const ROLLBACK_TIMEOUT_MS = 600;
@@ -249,7 +247,8 @@
   );
 }
 
-function closeTxOf(pool: Pool, job: Job, reason: string): void {
+/** Closes the open transaction of a job, if any. */
+export function closeTxOf(pool: Pool, job: Job, reason: string): void {
   const tx = job.msg.tx === null ? undefined : pool.txs.get(job.msg.tx.id);
   if (tx !== undefined) {
     closeTx(pool, tx, reason);
