Send the routing table compressed, once to each host, and paced

Cause: when 1,792 routes were added at once, each relay pushed the whole table to all hosts of its data centre and sent it again with each ask until it had arrived. Ruled out: the cost of parsing the table (in force 0.05 s after its read). Change: a relay announces the version; a host fetches the table from one relay at a time and gets it compressed; transfers are spread over time. Measured: unit test with 20 hosts a data centre and 1,800 routes, red before (each host received the table twice or more).

--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -120,6 +120,10 @@
    * each other.
    */
   readonly cutPairs: Set<string>;
+  /** Called with each message that a host sends to another one. */
+  readonly messageObservers: Set<
+    (from: string, to: string, msg: PoolMessage) => void
+  >;
   readonly get: (name: string) => FleetHost;
   readonly passTime: (ms: number) => Promise<void>;
   readonly start: (name: string) => void;
@@ -223,7 +227,9 @@
     deliver(from, () => get(from).host.handleLinkChange(to, isUp));
   };
 
+  const messageObservers: Fleet['messageObservers'] = new Set();
   const send = (from: string, to: string, msg: PoolMessage): void => {
+    messageObservers.forEach(observe => observe(from, to, msg));
     runtime.at(runtime.now() + LINK_MS, () => {
       if (!canReach(from, to)) {
         return;
@@ -538,6 +544,7 @@
       store.table = table;
       tableWatches.forEach(readTable);
     },
+    messageObservers,
     cutPairs,
     get,
     passTime,
--- a/packages/pooler/src/__tests__/unit/table_feed.test.ts
+++ b/packages/pooler/src/__tests__/unit/table_feed.test.ts
@@ -1,7 +1,9 @@
 /** How changes of the routing table reach the hosts of large data centres. */
 
 import {beforeEach, describe, expect, it} from 'vitest';
+import {createVirtualRuntime} from '@lacewingroad/runtime';
 import type {OpenResult} from '../../entry/entry.js';
+import type {PoolMessage} from '../../model/message.js';
 import {createFleet, DATABASE, TABLE} from '../fake_fleet.js';
 import type {Fleet} from '../fake_fleet.js';
 
@@ -9,6 +11,8 @@
 const HOSTS_PER_CENTRE = 10;
 /** Time in which a changed table must be in force, in ms. */
 const IN_FORCE_MS = 3_000;
+/** What the smallest host's link carries in a second: 7 Mbit. */
+const LINK_BYTES_PER_S = 875_000;
 
 let fleet: Fleet;
 let nextCaller = 1_000;
@@ -34,6 +38,37 @@
   fleet.setTable({...TABLE, version, routes});
 }
 
+/** Adds databases whose names and limits have little in common. */
+function addDatabases(count: number, version: number): void {
+  const random = createVirtualRuntime(version).random;
+  const route = TABLE.routes.get(DATABASE)!;
+  const routes = Array.from({length: count}, (_, i) => ({
+    ...route,
+    database: `db${i}`,
+    group: `g${Math.floor(random() * 1e9).toString(36)}`,
+    timeoutMs: Math.floor(random() * 3_000),
+  }));
+  fleet.setTable({
+    ...TABLE,
+    version,
+    routes: new Map([
+      ...TABLE.routes,
+      ...routes.map(added => [added.database, added] as const),
+    ]),
+  });
+}
+
+/** Returns the size of the table in a message, as it is sent to a host. */
+function measureTable(msg: PoolMessage): {bytes: number; hasTable: boolean} {
+  const table = msg.type === 'table_news' ? msg.table : null;
+  if (table === null) {
+    return {bytes: 0, hasTable: false};
+  }
+  const bytes =
+    table instanceof Uint8Array ? table.length : JSON.stringify(table).length;
+  return {bytes, hasTable: true};
+}
+
 beforeEach(async () => {
   fleet = createFleet(CENTRES, HOSTS_PER_CENTRE);
   await fleet.passTime(6_000);
@@ -118,6 +153,29 @@
     expect(new Set(results.slice(knownAt))).toEqual(new Set(['no_database']));
   });
 
+  // Relays that sent a large table to each host as often as it asked filled
+  // their links for seconds: heartbeats were late, and sessions were cut.
+  it('with 1,800 routes goes to each host once and leaves room on the link', async () => {
+    fleet = createFleet(CENTRES, 20);
+    await fleet.passTime(6_000);
+    const tableBytes = new Map<string, number>();
+    const received: string[] = [];
+    fleet.messageObservers.add((from, to, msg) => {
+      const {bytes, hasTable} = measureTable(msg);
+      tableBytes.set(from, (tableBytes.get(from) ?? 0) + bytes);
+      if (hasTable) {
+        received.push(to);
+      }
+    });
+    addDatabases(1_800, 2);
+    await fleet.passTime(IN_FORCE_MS);
+    expect(listHostsWithout('db1799')).toEqual([]);
+    expect(new Set(received).size).toBe(received.length);
+    for (const bytes of tableBytes.values()) {
+      expect(bytes).toBeLessThan(LINK_BYTES_PER_S);
+    }
+  });
+
   it('reaches a small data centre by watches of all its hosts', async () => {
     fleet = createFleet(CENTRES, 3);
     await fleet.passTime(6_000);
--- a/packages/pooler/src/model/message.ts
+++ b/packages/pooler/src/model/message.ts
@@ -104,23 +104,30 @@
   readonly stored: StoredOwnership;
 }
 
-/** Asks a relay for the current table; `ask` is repeated in the answer. */
+/** Asks a relay for its version; `ask` is repeated in the answer. */
 export interface TableAskMessage {
   readonly type: 'table_ask';
   readonly ask: number;
   /** Version of the sender's table, or null. */
   readonly version: number | null;
+  /**
+   * Whether the table is to be sent. Missing in the messages of hosts of earlier
+   * versions, which get any newer table at once.
+   */
+  readonly isFetch?: boolean | undefined;
 }
 
-/** Answers a TableAskMessage, or passes on a table that has just changed. */
+/** Answers a TableAskMessage, or announces a table that has just changed. */
 export interface TableNewsMessage {
   readonly type: 'table_news';
   /** Number of the request; null if the table was not asked for. */
   readonly ask: number | null;
   /** Time since the relay's table was last current, in ms; null if unknown. */
   readonly ageMs: number | null;
-  /** The relay's table; null if it is no newer than the receiver's. */
-  readonly table: PackedTable | null;
+  /** Version of the relay's table; missing from hosts of earlier versions. */
+  readonly version?: number | null | undefined;
+  /** The relay's table if it was fetched, compressed; see `table_codec.ts`. */
+  readonly table: Uint8Array | PackedTable | null;
 }
 
 /** Tells that an owner has no valid lease, or has one again. */
--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -119,7 +119,8 @@
   owners: listOf(listOf(isString)),
 });
 
-const isTable = fields({
+/** Returns whether a decoded table has all fields. */
+export const isPackedTable = fields({
   version: isNumber,
   routes: listOf(isRoute),
   groups: listOf(isGroupLimits),
@@ -168,11 +169,16 @@
     generation: isNumber,
     isActive: isBoolean,
   }),
-  table_ask: fields({ask: isNumber, version: orNull(isNumber)}),
+  table_ask: fields({
+    ask: isNumber,
+    version: orNull(isNumber),
+    isFetch: optional(isBoolean),
+  }),
   table_news: fields({
     ask: orNull(isNumber),
     ageMs: orNull(isNumber),
-    table: orNull(isTable),
+    table: orNull(value => value instanceof Uint8Array || isPackedTable(value)),
+    version: optional(orNull(isNumber)),
   }),
   hello: fields({isDraining: isBoolean}),
 };
--- a/packages/pooler/src/table/table_feed.ts
+++ b/packages/pooler/src/table/table_feed.ts
@@ -14,16 +14,22 @@
   RelayChoice,
   TableSource,
 } from '../decisions/table_source.js';
-import {packTable, unpackTable} from '../model/directory.js';
 import type {RouteTable} from '../model/directory.js';
 import type {TableAskMessage, TableNewsMessage} from '../model/message.js';
 import type {HostEntry} from '../model/ownership.js';
 import type {HostPorts} from '../ports.js';
+import {decodeTable} from './table_codec.js';
+import {createTableSender} from './table_sender.js';
 
 /** Interval at which relays are asked, by turns, in ms. */
 const ASK_INTERVAL_MS = 500;
 /** Time after which an unreachable relay is tried again, in ms. */
 const RELAY_RETRY_MS = 5_000;
+/**
+ * Time for a fetched table to arrive, in ms, before it is fetched again: a relay
+ * sends it to one host after the other.
+ */
+const FETCH_TIMEOUT_MS = 1_500;
 
 /** Dependencies of the feed. */
 export interface TableFeedConfig {
@@ -54,6 +60,12 @@
   readonly wallAt: number;
 }
 
+/** A transfer of the table that this host has asked for. */
+interface Fetch {
+  readonly host: HostId;
+  readonly deadline: Instant;
+}
+
 /** Creates the feed; it watches the store until relays are known. */
 export function createTableFeed(cfg: TableFeedConfig): TableFeed {
   const {self, ports} = cfg;
@@ -71,6 +83,20 @@
   const askers = new Map<HostId, Instant>();
   const linkedHosts = new Set<HostId>();
   const unreachableSince = new Map<HostId, Instant>();
+  /** The transfer in progress, or null. */
+  let fetch: Fetch | null = null;
+  const sender = createTableSender(
+    runtime,
+    () => table,
+    (host, {version}, bytes) =>
+      send(host, {
+        type: 'table_news',
+        ask: null,
+        ageMs: null,
+        version,
+        table: bytes,
+      }),
+  );
 
   const readReachability = (host: HostId): Reachability => {
     if (host === self.host || linkedHosts.has(host)) {
@@ -90,10 +116,38 @@
       return;
     }
     table = next;
+    fetch = null;
     cfg.onTable(next);
-    const packed = packTable(next);
+    const {version} = next;
     for (const host of askers.keys()) {
-      send(host, {type: 'table_news', ask: null, ageMs: null, table: packed});
+      send(host, {
+        type: 'table_news',
+        ask: null,
+        ageMs: null,
+        version,
+        table: null,
+      });
+    }
+  };
+
+  /** Sends a relay an ask; `isFetch` if it is to send its table. */
+  const ask = (host: HostId, isFetch: boolean): void => {
+    const id = nextAsk++;
+    asks.set(id, {host, sentAt: runtime.now()});
+    const version = table?.version ?? null;
+    send(host, {type: 'table_ask', ask: id, version, isFetch});
+  };
+
+  /** Fetches a newer table, unless another transfer is in progress. */
+  const fetchFrom = (host: HostId): void => {
+    const now = runtime.now();
+    if (
+      fetch === null ||
+      now >= fetch.deadline ||
+      !linkedHosts.has(fetch.host)
+    ) {
+      fetch = {host, deadline: now + FETCH_TIMEOUT_MS};
+      ask(host, true);
     }
   };
 
@@ -164,9 +218,7 @@
     if (host === undefined || linked.includes(self.host)) {
       return;
     }
-    const ask = nextAsk++;
-    asks.set(ask, {host, sentAt: runtime.now()});
-    send(host, {type: 'table_ask', ask, version: table?.version ?? null});
+    ask(host, false);
   };
 
   let unregister: Unregister = () => undefined;
@@ -193,25 +245,42 @@
       linkedHosts.delete(host);
       unreachableSince.set(host, runtime.now());
     },
-    handleAsk: (host, {ask, version}) => {
+    handleAsk: (host, {ask: id, version, isFetch}) => {
       askers.set(host, runtime.now());
       updateSource();
       const isNewer =
         table !== null && (version === null || table.version > version);
+      // A host of an earlier version fetches by each ask, and would take an age
+      // without a table as proof that its own one is current.
+      const isProof = !isNewer || isFetch !== undefined;
       send(host, {
         type: 'table_news',
-        ask,
-        ageMs: readAgeMs(),
-        table: isNewer ? packTable(table!) : null,
+        ask: id,
+        ageMs: isProof ? readAgeMs() : null,
+        version: table?.version ?? null,
+        table: null,
       });
+      if (isNewer && isFetch !== false) {
+        sender.send(host);
+      }
     },
-    handleNews: (host, {ask, ageMs, table: packed}) => {
-      if (packed !== null) {
-        apply(unpackTable(packed));
+    handleNews: (host, {ask: id, ageMs, version, table: received}) => {
+      if (received !== null) {
+        const next = decodeTable(received);
+        if (next === null) {
+          record('warn', 'table_malformed', {host, version: version ?? null});
+          return;
+        }
+        apply(next);
+      }
+      const isBehind =
+        typeof version === 'number' && version > (table?.version ?? -Infinity);
+      if (isBehind) {
+        fetchFrom(host);
       }
-      const asked = ask === null ? undefined : asks.get(ask);
-      if (asked?.host === host && ageMs !== null) {
-        asks.delete(ask!);
+      const asked = id === null ? undefined : asks.get(id);
+      if (asked?.host === host && ageMs !== null && !isBehind) {
+        asks.delete(id!);
         relayProofAt = Math.max(relayProofAt, asked.sentAt - ageMs);
         updateSource();
       }
