Let each connection to an endpoint speak for one workspace

Cause: endpoints were told one fixed name, so a statement ran for no workspace, on a connection that any caller shared. Change: a connection is opened for a workspace and used by its statements only; the endpoint is told the workspace's name, or the fixed name if there is none. Placement sees the free connections of the statement's workspace, and statements of different workspaces no longer wait for each other's connections.

--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -392,13 +392,13 @@
           unreadInput.splice(0).forEach(receive => receive());
           then();
         },
-        openConn: (entry, handlers) => {
+        openConn: (entry, workspace, handlers) => {
           const receive = (fn: () => void): void => {
             if (!isCut(name, entry.id)) {
               deliver(name, fn);
             }
           };
-          const link = group.openConn(entry, {
+          const link = group.openConn(entry, workspace, {
             onReady: position => receive(() => handlers.onReady(position)),
             onRefused: fault => receive(() => handlers.onRefused(fault)),
             onClosed: detail => receive(() => handlers.onClosed(detail)),
--- a/packages/pooler/src/__tests__/fake_group.ts
+++ b/packages/pooler/src/__tests__/fake_group.ts
@@ -22,6 +22,8 @@
   readonly text: string;
   readonly index: number;
   readonly term: number;
+  /** The workspace for which the connection speaks. */
+  readonly workspace: string | null;
   /** The prepared shape that it executed, or null. */
   readonly shape: string | null;
 }
@@ -64,6 +66,10 @@
   /** Faults with which the next statements fail, in order. */
   faults: EndpointFault[];
   conns: number;
+  /** Connections that it accepts. */
+  maxConns: number;
+  /** Connections that it refused for being too many. */
+  refusedConns: number;
   /** Breaks all connections. */
   reset: () => void;
   running: number;
@@ -140,6 +146,8 @@
       statements: 0,
       faults: [],
       conns: 0,
+      maxConns: Infinity,
+      refusedConns: 0,
       reset: () => undefined,
       running: 0,
       maxRunning: 0,
@@ -255,7 +263,7 @@
   const describe = (command: EndpointCommand): string =>
     command.type === 'run' ? command.text : command.type;
 
-  const openConn: OpenEndpointConn = (entry, handlers) => {
+  const openConn: OpenEndpointConn = (entry, workspace, handlers) => {
     const endpoint = endpoints.get(entry.id)!;
     const conn = nextConn++;
     let isClosed = false;
@@ -280,7 +288,17 @@
         }
       });
     };
-    schedule(HANDSHAKE_MS, () => handlers.onReady(getPosition(endpoint)));
+    const isTooMany = endpoint.conns > endpoint.maxConns;
+    schedule(HANDSHAKE_MS, () => {
+      if (isTooMany) {
+        isClosed = true;
+        endpoint.conns--;
+        endpoint.refusedConns++;
+        handlers.onRefused('too_many_connections');
+        return;
+      }
+      handlers.onReady(getPosition(endpoint));
+    });
 
     const run = (
       command: EndpointCommand,
@@ -368,6 +386,7 @@
           text: describe(command),
           index: getPosition(endpoint).index,
           term: endpoint.term,
+          workspace,
           shape,
         });
       }
--- a/packages/pooler/src/owner/connections.ts
+++ b/packages/pooler/src/owner/connections.ts
@@ -1,6 +1,7 @@
 /** Opens, checks and closes the connections of a pool. */
 
 import type {EndpointId} from '@lacewingroad/core';
+import type {WorkspaceId} from '../model/directory.js';
 import type {SessionState} from '../model/statement.js';
 import {
   CHECK_TIMEOUT_MS,
@@ -23,6 +24,8 @@
   readonly total: number;
   readonly opening: number;
   readonly free: number;
+  /** The workspaces that have a free connection; null for the pool itself. */
+  readonly freeWorkspaces: ReadonlySet<WorkspaceId | null>;
   readonly pinned: number;
   /** Connections that are used by a request. */
   readonly running: number;
@@ -44,14 +47,23 @@
   return Math.max(1, limit - RESERVED_CONNECTIONS);
 }
 
-const NO_CONNS: ConnCounts = {
+const NO_WORKSPACES: ReadonlySet<WorkspaceId | null> = new Set();
+export const NO_CONNS: ConnCounts = {
   total: 0,
   opening: 0,
   free: 0,
+  freeWorkspaces: NO_WORKSPACES,
   pinned: 0,
   running: 0,
 };
 
+function addWorkspace(
+  known: ReadonlySet<WorkspaceId | null>,
+  workspace: WorkspaceId | null,
+): ReadonlySet<WorkspaceId | null> {
+  return known.has(workspace) ? known : new Set([...known, workspace]);
+}
+
 /** Counts the connections of each endpoint that has any. */
 export function countAllConns(pool: Pool): ReadonlyMap<EndpointId, ConnCounts> {
   const counts = new Map<EndpointId, ConnCounts>();
@@ -61,6 +73,9 @@
       total: before.total + 1,
       opening: before.opening + (conn.isOpen ? 0 : 1),
       free: before.free + (isFree(conn) ? 1 : 0),
+      freeWorkspaces: isFree(conn)
+        ? addWorkspace(before.freeWorkspaces, conn.workspace)
+        : before.freeWorkspaces,
       pinned: before.pinned + (conn.tx === null ? 0 : 1),
       running: before.running + (conn.request === null ? 0 : 1),
     });
@@ -68,8 +83,11 @@
   return counts;
 }
 
-/** Returns whether a connection can take a statement of any session. */
-function isFree(conn: Conn): boolean {
+/**
+ * Returns whether a connection can take a statement of any session of its
+ * workspace.
+ */
+export function isFree(conn: Conn): boolean {
   return (
     conn.isOpen &&
     conn.request === null &&
@@ -78,7 +96,13 @@
   );
 }
 
-function openConn(pool: Pool, state: EndpointState, onLost: OnConnLost): void {
+/** Opens a connection that speaks for a workspace, or null for the pool. */
+export function openConn(
+  pool: Pool,
+  state: EndpointState,
+  workspace: WorkspaceId | null,
+  onLost: OnConnLost,
+): void {
   const {entry} = state;
   const id = pool.nextId();
   const failOpening = (detail: string, reopenMs: number): void => {
@@ -90,7 +114,7 @@
       detail,
     });
   };
-  const link = pool.cfg.ports.openConn(entry, {
+  const link = pool.cfg.ports.openConn(entry, workspace, {
     onReady: () => {
       markUp(pool, entry.id);
       pool.conns.update(id, {isOpen: true, idleSince: pool.now()});
@@ -121,6 +145,7 @@
   pool.conns.put(id, {
     id,
     endpoint: entry.id,
+    workspace,
     link,
     isOpen: false,
     openDeadline: now + OPEN_TIMEOUT_MS,
@@ -165,7 +190,7 @@
     const wanted = Math.min(getConnLimit(pool), pinned + getSlotLimit(state));
     const missing = Math.min(wanted - total, MAX_OPENING - opening);
     for (let count = 0; count < missing; count++) {
-      openConn(pool, state, onLost);
+      openConn(pool, state, null, onLost);
     }
   }
 }
@@ -178,15 +203,20 @@
   );
 }
 
-/** Returns a free connection, preferably one that has the session's values. */
+/**
+ * Returns a free connection of a workspace, preferably one that has the
+ * session's values.
+ */
 export function findFreeConn(
   pool: Pool,
   endpoint: EndpointId,
+  workspace: WorkspaceId | null,
   session: SessionState,
 ): Conn | null {
   let best: Conn | null = null;
   for (const conn of pool.conns.list()) {
-    if (conn.endpoint !== endpoint || !isFree(conn)) {
+    const isUsable = conn.endpoint === endpoint && conn.workspace === workspace;
+    if (!isUsable || !isFree(conn)) {
       continue;
     }
     if (matchesSession(conn, session)) {
--- a/packages/pooler/src/owner/group_pool.ts
+++ b/packages/pooler/src/owner/group_pool.ts
@@ -40,6 +40,7 @@
 import {createStatusProbes} from './status.js';
 import type {ReadStatus} from './status.js';
 import {estimateMinUsefulMs} from './views.js';
+import {ensureWorkspaceConns, usesWorkspaces} from './workspace_conns.js';
 
 /** The connection pool of a group. */
 export interface GroupPool {
@@ -228,7 +229,11 @@
       return;
     }
     refuseStuckWrites(pool);
-    ensureConns(pool, onLost);
+    if (usesWorkspaces(pool)) {
+      ensureWorkspaceConns(pool, onLost);
+    } else {
+      ensureConns(pool, onLost);
+    }
     startJobs(pool);
   };
 
--- a/packages/pooler/src/owner/scheduler.ts
+++ b/packages/pooler/src/owner/scheduler.ts
@@ -9,7 +9,11 @@
 import {endJob, runJob} from './jobs.js';
 import {refused} from '../model/result.js';
 import type {Conn, Job, Pool} from './state.js';
-import {estimateMinUsefulMs, createEndpointViews} from './views.js';
+import {
+  createEndpointViews,
+  estimateMinUsefulMs,
+  viewForWorkspace,
+} from './views.js';
 import type {PoolView} from './views.js';
 
 interface Placement {
@@ -59,7 +63,7 @@
   if (!isOpen || (job.msg.tx !== null && !canPinConn(pool, view))) {
     return null;
   }
-  const conn = findFreeConn(pool, view.id, job.msg.session);
+  const conn = findFreeConn(pool, view.id, job.msg.workspace, job.msg.session);
   return conn === null ? null : {conn, required: getAckedUpperBound(pool)};
 }
 
@@ -70,11 +74,14 @@
   views: readonly PoolView[],
 ): Placement | null {
   const need = findReadRequirements(pool, job);
+  const own = viewForWorkspace(views, job.msg.workspace);
   const open =
-    job.msg.tx === null ? views : views.filter(view => canPinConn(pool, view));
+    job.msg.tx === null ? own : own.filter(view => canPinConn(pool, view));
   const endpoint = chooseForRead(open, need, pool.now());
   const conn =
-    endpoint === null ? null : findFreeConn(pool, endpoint, job.msg.session);
+    endpoint === null
+      ? null
+      : findFreeConn(pool, endpoint, job.msg.workspace, job.msg.session);
   return conn === null ? null : {conn, required: need.required};
 }
 
@@ -97,6 +104,13 @@
  * Once one of them cannot be placed, the others with its key are not tried.
  */
 function getWaitKey(job: Job): string | null {
+  const key = getResourceKey(job);
+  const {workspace} = job.msg;
+  // Statements of different workspaces wait for different connections.
+  return key === null || workspace === null ? key : `${key} ${workspace}`;
+}
+
+function getResourceKey(job: Job): string | null {
   const {tx, consistency} = job.msg;
   if (tx !== null && !tx.isFirst) {
     return null;
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -21,6 +21,7 @@
   EndpointEntry,
   EndpointList,
   RouteTable,
+  WorkspaceId,
 } from '../model/directory.js';
 import type {RunMessage} from '../model/message.js';
 import type {EndpointStatus} from '../model/statement.js';
@@ -54,6 +55,8 @@
 export interface Conn {
   readonly id: number;
   readonly endpoint: EndpointId;
+  /** The workspace for which it speaks. */
+  readonly workspace: WorkspaceId | null;
   readonly link: EndpointConn;
   readonly isOpen: boolean;
   readonly openDeadline: Instant;
--- a/packages/pooler/src/owner/status.ts
+++ b/packages/pooler/src/owner/status.ts
@@ -235,7 +235,7 @@
 
   const open = (state: EndpointState): void => {
     const {id} = state.entry;
-    const link = pool.cfg.ports.openConn(state.entry, {
+    const link = pool.cfg.ports.openConn(state.entry, null, {
       onReady: () => {
         markUp(pool, id);
         probers.update(id, {
--- a/packages/pooler/src/owner/views.ts
+++ b/packages/pooler/src/owner/views.ts
@@ -2,12 +2,15 @@
 
 import {computeFaultShare} from '../decisions/fault_level.js';
 import type {EndpointView} from '../decisions/placement.js';
-import {countAllConns, getSlotLimit} from './connections.js';
+import type {WorkspaceId} from '../model/directory.js';
+import {countAllConns, getSlotLimit, NO_CONNS} from './connections.js';
 import {hasOpenCalls} from './promotion_calls.js';
 import type {Pool} from './state.js';
 
 /** The state of an endpoint for placement, with its pinned connections. */
 export interface PoolView extends EndpointView {
+  /** The workspaces that have a free connection; null for the pool itself. */
+  readonly freeWorkspaces: ReadonlySet<WorkspaceId | null>;
   /** Connections held by transactions. */
   readonly pinned: number;
 }
@@ -34,7 +37,7 @@
   const counts = countAllConns(pool);
   return pool.endpoints.list().map(state => {
     const {entry, status} = state;
-    const used = counts.get(entry.id);
+    const used = counts.get(entry.id) ?? NO_CONNS;
     const isKnownPrimary = primary?.endpoint === entry.id;
     const isServing = isKnownPrimary
       ? isPrimaryServing
@@ -43,14 +46,29 @@
       id: entry.id,
       isPrimary: isKnownPrimary && isPrimaryServing,
       isUsable: !entry.isLeaving && state.downSince === null && isServing,
-      running: used?.running ?? 0,
+      running: used.running,
       limit: getSlotLimit(state),
-      hasConnection: (used?.free ?? 0) > 0,
+      hasConnection: used.free > 0,
+      freeWorkspaces: used.freeWorkspaces,
       applied: state.applied,
       lagMs: state.lagMs,
       faultShare: computeFaultShare(state.faults, pool.now()),
       backoffUntil: state.backoffUntil,
-      pinned: used?.pinned ?? 0,
+      pinned: used.pinned,
     };
   });
 }
+
+/**
+ * Returns the states as a statement of a workspace sees them: it runs only on
+ * connections that speak for this workspace.
+ */
+export function viewForWorkspace(
+  views: readonly PoolView[],
+  workspace: WorkspaceId | null,
+): readonly PoolView[] {
+  return views.map(view => ({
+    ...view,
+    hasConnection: view.freeWorkspaces.has(workspace),
+  }));
+}
--- a/packages/pooler/src/ports.ts
+++ b/packages/pooler/src/ports.ts
@@ -12,6 +12,7 @@
   EndpointEntry,
   EndpointList,
   RouteTable,
+  WorkspaceId,
 } from './model/directory.js';
 import type {PoolMessage} from './model/message.js';
 import type {
@@ -59,9 +60,13 @@
   readonly close: () => void;
 }
 
-/** Opens connections to endpoints. */
+/**
+ * Opens connections to endpoints. A connection speaks for one workspace, or for
+ * the pool itself if that is null.
+ */
 export type OpenEndpointConn = (
   endpoint: EndpointEntry,
+  workspace: WorkspaceId | null,
   handlers: EndpointConnHandlers,
 ) => EndpointConn;
 
