Promote without the report of an ended run whose commits are covered

Cause: after the loss of the primary, a new owner counts each recorded endpoint run that has not reported as a place that may hold an acknowledged commit. A run whose endpoint had restarted just before counted beside the crashed primary, so that two reports were not enough until either was back or 15 s had passed. The record did not say which commits the ended run could have confirmed.

Change: once a newer run of its endpoint is listed, a run is recorded with a position that covers every commit that it confirmed: the position of a commit sent, or of a status of the primary requested, after its end. Each earlier position may miss a commit that it confirmed and whose answer was on its way; the rule that forgets a replaced run uses the new position too. A new owner needs no report of such a run if a reported log has that position. Commits after it are not at that run, so the other places are counted as before. A run whose entry only expired gets no position: it may still confirm commits. Records and messages without the field are read as before.

isSameLineage moves to model/ownership.ts, as it compares the new field.

--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -996,6 +996,39 @@
     expect(group.promotions).toHaveLength(1);
   });
 
+  // No write ran until the crashed primary was back, or for 15 s.
+  it('needs no report of an ended run whose commits are reported', async () => {
+    const ended = {...runOf(3, 0), ackedBefore: {term: 1, index: 4}};
+    lineage = {
+      members: [runOf(1), runOf(2), ended, runOf(3)],
+      term: 1,
+      promoting: [],
+    };
+    await changeOwner(3);
+    group.get(`${GROUP}-2`).received = 3;
+    pool = openPool();
+    await advanceTime(4_000);
+    expect(group.promotions).toEqual([]);
+    group.get(`${GROUP}-2`).received = 4;
+    await advanceTime(1_000);
+    expect(group.promotions).toMatchObject([{endpoint: `${GROUP}-2`}]);
+  });
+
+  // Of two places that have not reported, only the run that ended is covered.
+  it('needs the report of a run that goes on beside an ended one', async () => {
+    const ended = {...runOf(4, 0), ackedBefore: {term: 1, index: 0}};
+    lineage = {
+      members: [runOf(1), runOf(2), runOf(3), ended, runOf(4)],
+      term: 1,
+      promoting: [],
+    };
+    await changeOwner(4);
+    unlisted.add(`${GROUP}-3`);
+    pool = openPool();
+    await advanceTime(5_000);
+    expect(group.promotions).toEqual([]);
+  });
+
   it('says once why no promotion is requested', async () => {
     lineage = {
       members: [runOf(1), runOf(2), runOf(3, 0)],
@@ -1059,6 +1092,56 @@
     });
   });
 
+  // A commit that the run confirmed was on its way to the owner when it ended,
+  // and would not have been covered.
+  it('leaves which commits an ended run may have confirmed', async () => {
+    group.get(`${GROUP}-3`).isDeaf = true;
+    const replica = group.get(`${GROUP}-2`);
+    group.get(`${GROUP}-1`).executionMs = 20;
+    const early = send({statement: WRITE});
+    await advanceTime(10);
+    replica.entry = {...replica.entry, startedAt: 2};
+    await advanceTime(30);
+    expect(results.get(early)?.type).toBe('done');
+    expect(pool.readLineage()?.members).toContainEqual(runOf(2));
+    send({statement: WRITE});
+    await advanceTime(40);
+    expect(pool.readLineage()?.members).toContainEqual({
+      ...runOf(2),
+      ackedBefore: {term: 1, index: 2},
+    });
+  });
+
+  it('learns from the primary what an ended run may have confirmed', async () => {
+    send({statement: WRITE});
+    await advanceTime(40);
+    group.get(`${GROUP}-3`).isDeaf = true;
+    group.get(`${GROUP}-3`).received = 0;
+    const replica = group.get(`${GROUP}-2`);
+    replica.entry = {...replica.entry, startedAt: 2};
+    replica.received = 0;
+    replica.isDeaf = true;
+    await advanceTime(1_200);
+    expect(pool.readLineage()?.members).toContainEqual({
+      ...runOf(2),
+      ackedBefore: {term: 1, index: 1},
+    });
+  });
+
+  // Its entry had only expired: it may have confirmed commits until it ended.
+  it('leaves nothing of a run whose entry expired', async () => {
+    group.get(`${GROUP}-3`).isDeaf = true;
+    unlisted.add(`${GROUP}-2`);
+    send({statement: WRITE});
+    await advanceTime(4_000);
+    expect(pool.readLineage()?.members).toContainEqual(runOf(2));
+    const replica = group.get(`${GROUP}-2`);
+    replica.entry = {...replica.entry, startedAt: 2};
+    unlisted.delete(`${GROUP}-2`);
+    await advanceTime(10);
+    expect(pool.readLineage()?.members).toContainEqual(runOf(2));
+  });
+
   it('keeps an endpoint that left until others have its commits', async () => {
     group.get(`${GROUP}-2`).isUnresponsive = true;
     send({statement: WRITE});
--- a/packages/pooler/src/__tests__/unit/message_check.test.ts
+++ b/packages/pooler/src/__tests__/unit/message_check.test.ts
@@ -33,7 +33,10 @@
   deputies: [],
   renewals: 0,
   lineage: {
-    members: [{endpoint: 'i-1', startedAt: 1}],
+    members: [
+      {endpoint: 'i-1', startedAt: 1},
+      {endpoint: 'i-2', startedAt: 1, ackedBefore: {term: 1, index: 2}},
+    ],
     term: 1,
     promoting: ['i-2'],
   },
--- a/packages/pooler/src/__tests__/unit/promotion_model.test.ts
+++ b/packages/pooler/src/__tests__/unit/promotion_model.test.ts
@@ -8,7 +8,6 @@
 
 import fc from 'fast-check';
 import {expect, it} from 'vitest';
-import {knownRed} from '../../../../fakes/src/__tests__/known_red.js';
 import {createFleet} from '../fake_fleet.js';
 import {
   breakControl,
@@ -204,11 +203,10 @@
   }
 }, 3_600_000);
 
-knownRed('replaces a primary right after the return of the one before', () =>
+it('replaces a primary right after the return of the one before', () =>
   losePrimary({
     before: [{fault: 'crashPrimary', target: 0, waitMs: 1_300}],
     calmMs: 300,
     first: {fault: 'powerCycle', target: 0, waitMs: 0},
     last: {fault: 'powerCycle', target: 0, waitMs: 0},
-  }),
-);
+  }));
--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -75,7 +75,13 @@
 });
 
 const isLineage = fields({
-  members: listOf(fields({endpoint: isString, startedAt: isNumber})),
+  members: listOf(
+    fields({
+      endpoint: isString,
+      startedAt: isNumber,
+      ackedBefore: optional(isPosition),
+    }),
+  ),
   term: isNumber,
   promoting: listOf(isString),
 });
--- a/packages/pooler/src/model/ownership.ts
+++ b/packages/pooler/src/model/ownership.ts
@@ -5,6 +5,7 @@
   EndpointId,
   GroupId,
   HostId,
+  LogPosition,
 } from '@lacewingroad/core';
 
 /** A host and the address at which it listens for other hosts. */
@@ -28,19 +29,48 @@
   readonly startedAt: number;
 }
 
+/** An endpoint run that an owner leaves to the next one. */
+export interface RecordedRun extends EndpointRun {
+  /**
+   * Covers every acknowledged commit that the run confirmed; missing unless
+   * the run has ended.
+   */
+  readonly ackedBefore?: LogPosition | undefined;
+}
+
 /**
  * What an owner leaves to the next one about a group's endpoints. The endpoint
  * list alone does not tell: an entry may have expired.
  */
 export interface GroupLineage {
   /** Runs whose logs may hold acknowledged commits that others lack. */
-  readonly members: readonly EndpointRun[];
+  readonly members: readonly RecordedRun[];
   /** Term of the newest primary that an owner has used. */
   readonly term: number;
   /** Endpoints whose promotion was requested and may still take effect. */
   readonly promoting: readonly EndpointId[];
 }
 
+/** Returns whether two lineages name the same runs, term and candidates. */
+export function isSameLineage(
+  a: GroupLineage | null,
+  b: GroupLineage,
+): boolean {
+  const listRuns = ({members}: GroupLineage): string =>
+    members
+      .map(({endpoint, startedAt, ackedBefore}) =>
+        [startedAt, endpoint, ackedBefore?.term, ackedBefore?.index].join(),
+      )
+      .sort()
+      .join('\n');
+  return (
+    a !== null &&
+    a.term === b.term &&
+    a.promoting.join() === b.promoting.join() &&
+    listRuns(a) === listRuns(b)
+  );
+}
+
 /** The record of a group's owner; changed only by conditional updates. */
 export interface Ownership {
   readonly group: GroupId;
--- a/packages/pooler/src/owner/acks.ts
+++ b/packages/pooler/src/owner/acks.ts
@@ -10,7 +10,7 @@
   latestOf,
 } from '../decisions/positions.js';
 import {COMMIT_HISTORY_MS} from './limits.js';
-import {countReportsNeeded} from './members.js';
+import {countReportsNeeded, coverEndedMembers} from './members.js';
 import type {Job, Pool} from './state.js';
 
 /** Returns a position at or after every acknowledged commit; null if unknown. */
@@ -58,7 +58,7 @@
 /** Records a commit that is about to be acknowledged. */
 export function recordAckedCommit(
   pool: Pool,
-  {sentAfter}: Job,
+  {sentAfter, sentAt}: Job,
   position: LogPosition | null,
 ): void {
   const now = pool.now();
@@ -71,6 +71,9 @@
   if (latest === null) {
     return;
   }
+  if (sentAt !== null && position !== null) {
+    coverEndedMembers(pool, sentAt, position);
+  }
   const next = [...commits, {position: latest, ackedAt: now}];
   const firstKept = next.findIndex(
     ({ackedAt}) => ackedAt > now - COMMIT_HISTORY_MS,
--- a/packages/pooler/src/owner/members.ts
+++ b/packages/pooler/src/owner/members.ts
@@ -4,9 +4,10 @@
  * `syncReplicas` endpoints have such a run that has not reported.
  */
 
-import type {EndpointId} from '@lacewingroad/core';
+import type {EndpointId, LogPosition} from '@lacewingroad/core';
+import type {Instant} from '@lacewingroad/runtime';
 import type {EndpointRun, GroupLineage} from '../model/ownership.js';
-import {isAtLeast} from '../decisions/positions.js';
+import {isAtLeast, latestOf} from '../decisions/positions.js';
 import {getAckedUpperBound, getSyncReplicas} from './acks.js';
 import type {Member, Pool} from './state.js';
 
@@ -18,7 +19,9 @@
 export function addKnownMembers(pool: Pool): void {
   const leftAt = pool.now();
   for (const run of pool.cfg.lineage?.members ?? []) {
-    pool.members.put(getKey(run), {...run, leftAt, ackedBefore: null});
+    const ackedBefore = run.ackedBefore ?? null;
+    const endedAt = ackedBefore === null ? null : leftAt;
+    pool.members.put(getKey(run), {...run, leftAt, endedAt, ackedBefore});
   }
 }
 
@@ -43,9 +46,49 @@
   return holders.length > getSyncReplicas(pool);
 }
 
-/** Returns the position up to which the primary's commits may be acked. */
-function findKnownAcked(pool: Pool): Member['ackedBefore'] {
-  return pool.read().primary === null ? null : getAckedUpperBound(pool);
+/** Returns whether a newer run of the same endpoint is listed. */
+function hasEnded(pool: Pool, {endpoint, startedAt}: Member): boolean {
+  const listed = pool.endpoints.get(endpoint)?.entry.startedAt ?? 0;
+  return startedAt > 0 && listed > startedAt;
+}
+
+/**
+ * Returns a position that covers the commits that a run has confirmed, or null.
+ * For one that has ended, the primary must have reported it since: a commit
+ * that it confirmed may have been on its way to this host when it ended.
+ */
+function findAckedBefore(
+  pool: Pool,
+  endedAt: Member['endedAt'],
+): Member['ackedBefore'] {
+  const {primary} = pool.read();
+  const acked = primary === null ? null : getAckedUpperBound(pool);
+  if (primary === null || endedAt === null) {
+    return acked;
+  }
+  const state = pool.endpoints.get(primary.endpoint);
+  const isReported =
+    state?.status?.role === 'primary' &&
+    state.status.term === primary.term &&
+    (state.statusRequestedAt ?? -Infinity) >= endedAt;
+  return isReported ? latestOf(acked, state.status.received) : null;
+}
+
+/**
+ * Notes the position of a commit for the runs that had ended before it was
+ * sent: it follows each commit that they confirmed.
+ */
+export function coverEndedMembers(
+  pool: Pool,
+  sentAt: Instant,
+  position: LogPosition,
+): void {
+  for (const member of pool.members.list()) {
+    const {endedAt, ackedBefore} = member;
+    if (endedAt !== null && endedAt <= sentAt && ackedBefore === null) {
+      pool.members.update(getKey(member), {ackedBefore: position});
+    }
+  }
 }
 
 /** Adds listed endpoints, and forgets members that left and were replaced. */
@@ -56,7 +99,12 @@
     const key = getKey(run);
     listed.add(key);
     if (pool.members.get(key)?.leftAt !== null) {
-      pool.members.put(key, {...run, leftAt: null, ackedBefore: null});
+      pool.members.put(key, {
+        ...run,
+        leftAt: null,
+        endedAt: null,
+        ackedBefore: null,
+      });
     }
   }
   for (const member of pool.members.list()) {
@@ -68,10 +116,13 @@
       pool.members.remove(key);
       continue;
     }
-    pool.members.update(key, {
-      leftAt: member.leftAt ?? pool.now(),
-      ackedBefore: member.ackedBefore ?? findKnownAcked(pool),
-    });
+    const leftAt = member.leftAt ?? pool.now();
+    const endedAt =
+      member.endedAt ?? (hasEnded(pool, member) ? pool.now() : null);
+    // An endpoint whose entry had only expired may have confirmed more since.
+    const known = endedAt === member.endedAt ? member.ackedBefore : null;
+    const ackedBefore = known ?? findAckedBefore(pool, endedAt);
+    pool.members.update(key, {leftAt, endedAt, ackedBefore});
   }
 }
 
@@ -87,6 +138,25 @@
   return left;
 }
 
+/**
+ * Returns whether a run has ended and a reported log has every acknowledged
+ * commit that it confirmed. No later commit is at that run.
+ */
+function isCovered(
+  pool: Pool,
+  {endedAt, ackedBefore}: Member,
+  reporters: readonly EndpointId[],
+): boolean {
+  return (
+    endedAt !== null &&
+    ackedBefore !== null &&
+    reporters.some(id => {
+      const received = pool.endpoints.get(id)?.status?.received;
+      return received !== undefined && isAtLeast(received, ackedBefore);
+    })
+  );
+}
+
 /**
  * Returns how many endpoints have to report their logs, given those that have,
  * until one of them has every acknowledged commit. Each such commit was at its
@@ -104,7 +174,9 @@
   const silent = pool.members
     .list()
     .filter(
-      ({endpoint, leftAt}) => leftAt !== null || !reporters.includes(endpoint),
+      member =>
+        !isCovered(pool, member, reporters) &&
+        (member.leftAt !== null || !reporters.includes(member.endpoint)),
     );
   const places = new Set(silent.map(({endpoint}) => endpoint));
   const missing = Math.max(0, places.size - syncReplicas);
@@ -125,7 +197,11 @@
   return {
     members: pool.members
       .list()
-      .map(({endpoint, startedAt}) => ({endpoint, startedAt})),
+      .map(({endpoint, startedAt, endedAt, ackedBefore}) => ({
+        endpoint,
+        startedAt,
+        ...(endedAt !== null && ackedBefore !== null && {ackedBefore}),
+      })),
     term: Math.max(known?.term ?? 0, primary?.term ?? 0),
     promoting: [...new Set(pool.read().calls.map(call => call.endpoint))],
   };
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -119,9 +119,11 @@
 export interface Member extends EndpointRun {
   /** Since when it is not listed, or null while it is. */
   readonly leftAt: Instant | null;
+  /** Since when a newer run of its endpoint is listed, or null. */
+  readonly endedAt: Instant | null;
   /**
-   * Covers the commits that were acknowledged before it left; null if they
-   * were unknown then.
+   * Covers the commits that were acknowledged before it left or, if it has
+   * ended, every one that it confirmed; null while unknown.
    */
   readonly ackedBefore: LogPosition | null;
 }
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -36,6 +36,7 @@
   StoredOwnership,
   WriteResult,
 } from '../model/ownership.js';
+import {isSameLineage} from '../model/ownership.js';
 import type {HostPorts} from '../ports.js';
 import {createRecords} from '../records.js';
 
@@ -213,20 +214,6 @@
   return deputies.map(({host}) => host);
 }
 
-function isSameLineage(a: GroupLineage | null, b: GroupLineage): boolean {
-  const listRuns = ({members}: GroupLineage): string =>
-    members
-      .map(({endpoint, startedAt}) => `${startedAt} ${endpoint}`)
-      .sort()
-      .join('\n');
-  return (
-    a !== null &&
-    a.term === b.term &&
-    a.promoting.join() === b.promoting.join() &&
-    listRuns(a) === listRuns(b)
-  );
-}
-
 function toAddress({host, address}: HostAddress): HostAddress {
   return {host, address};
 }
