--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -1,7 +1,6 @@
 /** One host: serves callers, owns pools, and takes over pools of others. */
 
 import type {GroupId, HostId} from '@lacewingroad/core';
-import {waitUntil} from '@lacewingroad/runtime';
 import type {Instant, Unregister} from '@lacewingroad/runtime';
 import {
   chooseLinks,
@@ -15,25 +14,16 @@
 import type {OwnerStateMessage, PoolMessage} from './model/message.js';
 import {isWellFormed} from './model/message_check.js';
 import {listMembers} from './model/ownership.js';
-import type {
-  HostAddress,
-  HostEntry,
-  StoredOwnership,
-} from './model/ownership.js';
+import type {HostEntry, StoredOwnership} from './model/ownership.js';
 import {createGroupPool} from './owner/group_pool.js';
 import type {GroupPool} from './owner/group_pool.js';
 import type {ReadStatus} from './owner/status.js';
+import {createHandover} from './ownership/handover.js';
 import {createOwnershipController} from './ownership/ownership_controller.js';
 import {createPromotionGuard} from './ownership/promotion_guard.js';
 import type {HostPorts, Promote} from './ports.js';
 import {createTableFeed} from './table/table_feed.js';
 
-/** Time for open transactions to end before a group is handed over, in ms. */
-const HANDOVER_TIMEOUT_MS = 1_000;
-/** Time for a requested promotion to take effect before a handover, in ms. */
-const SETTLE_TIMEOUT_MS = 3_000;
-/** Interval at which a handover checks whether the pool is idle, in ms. */
-const HANDOVER_POLL_MS = 20;
 /** Interval at which connections to other hosts are maintained, in ms. */
 const LINK_INTERVAL_MS = 500;
 /** Time without links to remote hosts after which no group is claimed, ms. */
@@ -221,6 +211,12 @@
     },
   });
 
+  const handover = createHandover({
+    ports,
+    ownership,
+    findPool: group => pools.get(group),
+  });
+
   /** Tells all linked hosts whether this one may act as an owner. */
   const reportActivity = (
     group: GroupId,
@@ -442,25 +438,6 @@
     }
   };
 
-  let isMoving = false;
-  /** Moves one group to a host with a much lower load, if there is one. */
-  const moveOneGroup = (): void => {
-    if (isMoving || isDraining) {
-      return;
-    }
-    for (const group of ownership.listOwnedGroups()) {
-      const to = ownership.findBetterOwner(group);
-      if (to !== null) {
-        isMoving = true;
-        record('info', 'group_moved', {group, to: to.host});
-        void releaseGroup(group, to).finally(() => {
-          isMoving = false;
-        });
-        return;
-      }
-    }
-  };
-
   let cancelLinkTimer: Unregister = () => undefined;
   const maintainLinks = (): void => {
     const links = chooseLinks(
@@ -474,7 +451,9 @@
       .forEach(host => send(host, {type: 'hello', isDraining}));
     updateCutOff();
     moveSessions();
-    moveOneGroup();
+    if (!isDraining) {
+      handover.moveOneGroup();
+    }
     cancelLinkTimer = runtime.at(
       runtime.now() + LINK_INTERVAL_MS,
       maintainLinks,
@@ -482,26 +461,6 @@
   };
   cancelLinkTimer = runtime.at(runtime.now() + LINK_INTERVAL_MS, maintainLinks);
 
-  const releaseGroup = async (
-    group: GroupId,
-    to: HostAddress | null,
-  ): Promise<void> => {
-    const pool = pools.get(group);
-    // The next owner would let the old primary acknowledge commits that the
-    // promotion loses.
-    pool?.beginSettling();
-    const settleDeadline = runtime.now() + SETTLE_TIMEOUT_MS;
-    while (pool?.isSettled() === false && runtime.now() < settleDeadline) {
-      await waitUntil(runtime, runtime.now() + HANDOVER_POLL_MS);
-    }
-    pool?.beginHandover();
-    const deadline = runtime.now() + HANDOVER_TIMEOUT_MS;
-    while (pool?.isIdle() === false && runtime.now() < deadline) {
-      await waitUntil(runtime, runtime.now() + HANDOVER_POLL_MS);
-    }
-    await ownership.release(group, to);
-  };
-
   return {
     entry,
     handleMessage,
@@ -556,9 +515,7 @@
       isDraining = true;
       ownership.stopClaiming();
       linkedHosts.forEach(host => send(host, {type: 'hello', isDraining}));
-      await Promise.all(
-        ownership.listOwnedGroups().map(group => releaseGroup(group, null)),
-      );
+      await handover.releaseAll();
     },
     close: () => {
       cancelLinkTimer();
