Limit the operations of workspaces over all hosts

Cause: the limits of workspaces in the table were not observed. An operation takes a token when it is admitted and one when it is sent to an endpoint: without the second, operations queued while no endpoint ran would reach endpoints above the limit at once. Nothing of this runs without the quota settings.

--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -2,6 +2,7 @@
 
 import type {GroupId, HostId} from '@lacewingroad/core';
 import type {Instant, Unregister} from '@lacewingroad/runtime';
+import type {AllowanceTolerance} from './decisions/allowance_homes.js';
 import {
   chooseLinks,
   listRemoteHosts,
@@ -15,6 +16,7 @@
 import {isWellFormed} from './model/message_check.js';
 import {listMembers} from './model/ownership.js';
 import type {HostEntry, StoredOwnership} from './model/ownership.js';
+import {createAllowances} from './owner/allowances.js';
 import {createGroupPool} from './owner/group_pool.js';
 import type {GroupPool} from './owner/group_pool.js';
 import type {ReadStatus} from './owner/status.js';
@@ -37,6 +39,8 @@
   readonly ports: HostPorts;
   /** Parses the row of an endpoint's reply to a status probe. */
   readonly readStatus: ReadStatus;
+  /** How exactly limits are observed; without it workspaces are not limited. */
+  readonly allowanceTolerance?: AllowanceTolerance | null;
 }
 
 /** One host. */
@@ -171,6 +175,7 @@
     readLineage: group => pools.get(group)?.readLineage() ?? null,
     onGained: group => {
       pools.get(group)?.close();
+      allowances?.noteGained(group);
       pools.set(group, openPool(group));
       const generation = ownership.readGeneration(group);
       setOwner(group, self.host, generation);
@@ -180,6 +185,7 @@
     onLost: group => {
       pools.get(group)?.close();
       pools.delete(group);
+      allowances?.noteLost(group);
       const owner = owners.get(group);
       if (owner?.host === self.host) {
         // There may be no next owner, or its record may come late.
@@ -211,6 +217,19 @@
     },
   });
 
+  const allowances =
+    cfg.allowanceTolerance == null
+      ? null
+      : createAllowances({
+          self: self.host,
+          ports: {runtime, record, send},
+          tolerance: cfg.allowanceTolerance,
+          readTable: tableFeed.read,
+          isActiveOwner: ownership.hasValidLease,
+          isLinked,
+          findOwner: group => owners.get(group)?.host ?? null,
+        });
+
   const handover = createHandover({
     ports,
     ownership,
@@ -263,6 +282,7 @@
         saveLineage: () => ownership.saveLineage(group),
         readTable: tableFeed.read,
         readEndpoints: () => endpoints,
+        allowances: allowances?.gate ?? null,
         lineage: ownership.readStored(group)?.ownership.lineage ?? null,
       },
       cfg.readStatus,
@@ -361,6 +381,8 @@
     owner_state: handleOwnerState,
     table_ask: (host, msg) => tableFeed.handleAsk(host, msg),
     table_news: (host, msg) => tableFeed.handleNews(host, msg),
+    allowance_ask: (host, msg) => allowances?.exchange.handleAsk(host, msg),
+    allowance_grant: (host, msg) => allowances?.exchange.handleGrant(host, msg),
     hello: (host, {isDraining: isPeerDraining}) => {
       if (isPeerDraining) {
         stoppingHosts.add(host);
@@ -525,6 +547,7 @@
       ownership.close();
       pools.forEach(pool => pool.close());
       pools.clear();
+      allowances?.close();
     },
   };
 }
--- a/packages/pooler/src/model/message.ts
+++ b/packages/pooler/src/model/message.ts
@@ -123,6 +123,36 @@
   readonly table: PackedTable | null;
 }
 
+/** What an owner lacks of a workspace's limit, in tokens. */
+export interface AllowanceNeed {
+  readonly workspace: WorkspaceId;
+  /** Tokens to admit operations. */
+  readonly admission: number;
+  /** Tokens to send admitted operations to endpoints. */
+  readonly start: number;
+}
+
+/** Asks the owner of home groups of workspaces to lend tokens. */
+export interface AllowanceAskMessage {
+  readonly type: 'allowance_ask';
+  /** Number of this request; the answer repeats it. */
+  readonly ask: number;
+  readonly needs: readonly AllowanceNeed[];
+}
+
+/** Tokens that were lent; the lender has deducted them. */
+export interface AllowanceLoan extends AllowanceNeed {
+  /** What the lender could have lent at most, for admission. */
+  readonly spare: number;
+}
+
+/** Answers an AllowanceAskMessage; loans are valid from the ask on. */
+export interface AllowanceGrantMessage {
+  readonly type: 'allowance_grant';
+  readonly ask: number;
+  readonly loans: readonly AllowanceLoan[];
+}
+
 /** Tells that an owner has no valid lease, or has one again. */
 export interface OwnerStateMessage {
   readonly type: 'owner_state';
@@ -151,4 +181,6 @@
   | OwnerStateMessage
   | TableAskMessage
   | TableNewsMessage
+  | AllowanceAskMessage
+  | AllowanceGrantMessage
   | HelloMessage;
--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -20,6 +20,8 @@
   return value => value === null || check(value);
 }
 
+const isAmount: Check = value => isNumber(value) && (value as number) >= 0;
+
 /** Accepts a missing field: hosts of earlier versions do not send it. */
 function optional(check: Check): Check {
   return value => value === undefined || check(value);
@@ -69,7 +71,10 @@
     signature: isString,
     position: orNull(isPosition),
   }),
-  refused: fields({reason: isString}),
+  refused: fields({
+    reason: isString,
+    retryAfterMs: optional(orNull(isNumber)),
+  }),
   failed: fields({fault: oneOf('failed', 'timed_out'), text: isString}),
   unknown: fields({reason: isString}),
 });
@@ -174,6 +179,23 @@
     ageMs: orNull(isNumber),
     table: orNull(isTable),
   }),
+  allowance_ask: fields({
+    ask: isNumber,
+    needs: listOf(
+      fields({workspace: isString, admission: isAmount, start: isAmount}),
+    ),
+  }),
+  allowance_grant: fields({
+    ask: isNumber,
+    loans: listOf(
+      fields({
+        workspace: isString,
+        admission: isAmount,
+        start: isAmount,
+        spare: isAmount,
+      }),
+    ),
+  }),
   hello: fields({isDraining: isBoolean}),
 };
 
--- a/packages/pooler/src/model/result.ts
+++ b/packages/pooler/src/model/result.ts
@@ -30,7 +30,12 @@
       readonly position: LogPosition | null;
     }
   /** Not run, or confirmed as rolled back. */
-  | {readonly type: 'refused'; readonly reason: RefusalReason}
+  | {
+      readonly type: 'refused';
+      readonly reason: RefusalReason;
+      /** Time after which the caller should try again, in ms, if known. */
+      readonly retryAfterMs?: number | null;
+    }
   /** Run, and ended by an error from the endpoint. */
   | {
       readonly type: 'failed';
@@ -40,8 +45,13 @@
   | {readonly type: 'unknown'; readonly reason: UnknownReason};
 
 /** Creates the result of a statement that was not run. */
-export function refused(reason: RefusalReason): RunResult {
-  return {type: 'refused', reason};
+export function refused(
+  reason: RefusalReason,
+  retryAfterMs: number | null = null,
+): RunResult {
+  return retryAfterMs === null
+    ? {type: 'refused', reason}
+    : {type: 'refused', reason, retryAfterMs};
 }
 
 /** Creates the result of a statement of unknown outcome. */
--- a/packages/pooler/src/owner/group_pool.ts
+++ b/packages/pooler/src/owner/group_pool.ts
@@ -271,6 +271,35 @@
     }
   };
 
+  /**
+   * Asks for a token of a new operation's workspace; returns whether the
+   * operation may be queued. One that waits for its token is queued, too.
+   */
+  const admitToAllowance = (job: Job): boolean => {
+    const {allowances} = pool.cfg;
+    const {workspace, request} = job.msg;
+    if (allowances == null || workspace == null) {
+      return true;
+    }
+    const refuseOver = (retryAfterMs: number): void =>
+      endJob(pool, job, refused('over_allowance', retryAfterMs));
+    const answer = allowances.admit({
+      request,
+      workspace,
+      rank: job.priority,
+      targetAt: job.targetAt,
+      isOwnerActive: pool.cfg.isLeaseValid(),
+      onGranted: pool.wake,
+      onRefused: refuseOver,
+    });
+    if (answer.type === 'refused') {
+      pool.jobs.put(request, job);
+      refuseOver(answer.retryAfterMs);
+      return false;
+    }
+    return true;
+  };
+
   const refuse = (job: Job): void => {
     pool.jobs.put(job.msg.request, job);
     endJob(
@@ -314,9 +343,14 @@
         return;
       }
       const isNew = msg.tx === null || msg.tx.isFirst;
-      const isRefused =
-        isNew && (pool.read().isHandingOver || !canAdmit(pool, msg));
-      if (isRefused) {
+      if (isNew && pool.read().isHandingOver) {
+        refuse(job);
+        return;
+      }
+      if (isNew && !admitToAllowance(job)) {
+        return;
+      }
+      if (isNew && !canAdmit(pool, msg)) {
         refuse(job);
         return;
       }
--- a/packages/pooler/src/owner/scheduler.ts
+++ b/packages/pooler/src/owner/scheduler.ts
@@ -127,7 +127,12 @@
 
 /** Starts every waiting statement that can run now. */
 export function startJobs(pool: Pool): void {
-  const waiting = pool.jobs.list().filter(({phase}) => phase === 'waiting');
+  const {allowances} = pool.cfg;
+  const mayStart = ({msg}: Job): boolean =>
+    allowances?.mayStart(msg.request) ?? true;
+  const waiting = pool.jobs
+    .list()
+    .filter(job => job.phase === 'waiting' && mayStart(job));
   // Until a primary is known, the commits acknowledged by previous owners are
   // unknown.
   const isPrimaryKnown = pool.read().base !== null;
@@ -144,7 +149,7 @@
   for (const job of orderJobs(waiting, pool.read().skipCounts, pool.now())) {
     const key = getWaitKey(job);
     const isLate = pool.now() + minUsefulMs >= job.deadline;
-    if (isLate || (key !== null && blocked.has(key))) {
+    if (isLate || !mayStart(job) || (key !== null && blocked.has(key))) {
       continue;
     }
     const found = findPlacement(pool, job, views);
@@ -154,6 +159,7 @@
       }
       continue;
     }
+    allowances?.start(job.msg.request);
     runJob(pool, job, found.conn, found.required);
     ranks.set(job.priority, ranks.get(job.priority)! - 1);
     const left = [...ranks].filter(([, count]) => count > 0);
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -28,6 +28,7 @@
 import {createRecords} from '../records.js';
 import type {EndpointRun, GroupLineage} from '../model/ownership.js';
 import type {Records} from '../records.js';
+import type {AllowanceGate} from './allowance_gate.js';
 import {INITIAL_SERVICE_MS} from './limits.js';
 
 /** A statement that waits or runs in a pool. */
@@ -215,6 +216,8 @@
   readonly saveLineage: () => Promise<void>;
   readonly readTable: () => RouteTable | null;
   readonly readEndpoints: () => EndpointList | null;
+  /** Limits the operations of workspaces; null if they have no limits. */
+  readonly allowances?: AllowanceGate | null;
   /** What earlier owners knew of the endpoints; null if nothing is recorded. */
   readonly lineage: GroupLineage | null;
 }
@@ -260,7 +263,7 @@
     endpoints: createRecords(),
     members: createRecords(),
     conns: createRecords(),
-    jobs: createRecords(),
+    jobs: createRecords(request => cfg.allowances?.end(request)),
     txs: createRecords(),
     read: () => state,
     update: part => {
--- a/packages/pooler/src/records.ts
+++ b/packages/pooler/src/records.ts
@@ -13,8 +13,10 @@
   readonly count: () => number;
 }
 
-/** Creates an empty map of records. */
-export function createRecords<K, T extends object>(): Records<K, T> {
+/** Creates an empty map of records; `onRemoved` is called after a removal. */
+export function createRecords<K, T extends object>(
+  onRemoved?: (key: K) => void,
+): Records<K, T> {
   const byKey = new Map<K, T>();
   return {
     get: key => byKey.get(key),
@@ -30,7 +32,13 @@
       byKey.set(key, next);
       return next;
     },
-    remove: key => byKey.delete(key),
+    remove: key => {
+      const existed = byKey.delete(key);
+      if (existed) {
+        onRemoved?.(key);
+      }
+      return existed;
+    },
     list: () => [...byKey.values()],
     count: () => byKey.size,
   };
