--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -1,8 +1,8 @@
 /** One host: serves callers, owns pools, and takes over pools of others. */
 
 import type {GroupId, HostId} from '@lacewingroad/core';
-import {waitUntil} from '@lacewingroad/runtime';
 import type {Instant, Unregister} from '@lacewingroad/runtime';
+import type {AllowanceTolerance} from './decisions/allowance_homes.js';
 import {
   chooseLinks,
   listRemoteHosts,
@@ -15,25 +15,17 @@
 import type {OwnerStateMessage, PoolMessage} from './model/message.js';
 import {isWellFormed} from './model/message_check.js';
 import {listMembers} from './model/ownership.js';
-import type {
-  HostAddress,
-  HostEntry,
-  StoredOwnership,
-} from './model/ownership.js';
+import type {HostEntry, StoredOwnership} from './model/ownership.js';
+import {createAllowances} from './owner/allowances.js';
 import {createGroupPool} from './owner/group_pool.js';
 import type {GroupPool} from './owner/group_pool.js';
 import type {ReadStatus} from './owner/status.js';
+import {createHandover} from './ownership/handover.js';
 import {createOwnershipController} from './ownership/ownership_controller.js';
 import {createPromotionGuard} from './ownership/promotion_guard.js';
 import type {HostPorts, Promote} from './ports.js';
 import {createTableFeed} from './table/table_feed.js';
 
-/** Time for open transactions to end before a group is handed over, in ms. */
-const HANDOVER_TIMEOUT_MS = 1_000;
-/** Time for a requested promotion to take effect before a handover, in ms. */
-const SETTLE_TIMEOUT_MS = 3_000;
-/** Interval at which a handover checks whether the pool is idle, in ms. */
-const HANDOVER_POLL_MS = 20;
 /** Interval at which connections to other hosts are maintained, in ms. */
 const LINK_INTERVAL_MS = 500;
 /** Time without links to remote hosts after which no group is claimed, ms. */
@@ -47,6 +39,8 @@
   readonly ports: HostPorts;
   /** Parses the row of an endpoint's reply to a status probe. */
   readonly readStatus: ReadStatus;
+  /** How exactly limits are observed; without it workspaces are not limited. */
+  readonly allowanceTolerance?: AllowanceTolerance | null;
 }
 
 /** One host. */
@@ -181,6 +175,7 @@
     readLineage: group => pools.get(group)?.readLineage() ?? null,
     onGained: group => {
       pools.get(group)?.close();
+      allowances?.noteGained(group);
       pools.set(group, openPool(group));
       const generation = ownership.readGeneration(group);
       setOwner(group, self.host, generation);
@@ -190,6 +185,7 @@
     onLost: group => {
       pools.get(group)?.close();
       pools.delete(group);
+      allowances?.noteLost(group);
       const owner = owners.get(group);
       if (owner?.host === self.host) {
         // There may be no next owner, or its record may come late.
@@ -221,6 +217,25 @@
     },
   });
 
+  const allowances =
+    cfg.allowanceTolerance == null
+      ? null
+      : createAllowances({
+          self: self.host,
+          ports: {runtime, record, send},
+          tolerance: cfg.allowanceTolerance,
+          readTable: tableFeed.read,
+          isActiveOwner: ownership.hasValidLease,
+          isLinked,
+          findOwner: group => owners.get(group)?.host ?? null,
+        });
+
+  const handover = createHandover({
+    ports,
+    ownership,
+    findPool: group => pools.get(group),
+  });
+
   /** Tells all linked hosts whether this one may act as an owner. */
   const reportActivity = (
     group: GroupId,
@@ -267,6 +282,7 @@
         saveLineage: () => ownership.saveLineage(group),
         readTable: tableFeed.read,
         readEndpoints: () => endpoints,
+        allowances: allowances?.gate ?? null,
         lineage: ownership.readStored(group)?.ownership.lineage ?? null,
       },
       cfg.readStatus,
@@ -365,6 +381,8 @@
     owner_state: handleOwnerState,
     table_ask: (host, msg) => tableFeed.handleAsk(host, msg),
     table_news: (host, msg) => tableFeed.handleNews(host, msg),
+    allowance_ask: (host, msg) => allowances?.exchange.handleAsk(host, msg),
+    allowance_grant: (host, msg) => allowances?.exchange.handleGrant(host, msg),
     hello: (host, {isDraining: isPeerDraining}) => {
       if (isPeerDraining) {
         stoppingHosts.add(host);
@@ -442,25 +460,6 @@
     }
   };
 
-  let isMoving = false;
-  /** Moves one group to a host with a much lower load, if there is one. */
-  const moveOneGroup = (): void => {
-    if (isMoving || isDraining) {
-      return;
-    }
-    for (const group of ownership.listOwnedGroups()) {
-      const to = ownership.findBetterOwner(group);
-      if (to !== null) {
-        isMoving = true;
-        record('info', 'group_moved', {group, to: to.host});
-        void releaseGroup(group, to).finally(() => {
-          isMoving = false;
-        });
-        return;
-      }
-    }
-  };
-
   let cancelLinkTimer: Unregister = () => undefined;
   const maintainLinks = (): void => {
     const links = chooseLinks(
@@ -474,7 +473,9 @@
       .forEach(host => send(host, {type: 'hello', isDraining}));
     updateCutOff();
     moveSessions();
-    moveOneGroup();
+    if (!isDraining) {
+      handover.moveOneGroup();
+    }
     cancelLinkTimer = runtime.at(
       runtime.now() + LINK_INTERVAL_MS,
       maintainLinks,
@@ -482,26 +483,6 @@
   };
   cancelLinkTimer = runtime.at(runtime.now() + LINK_INTERVAL_MS, maintainLinks);
 
-  const releaseGroup = async (
-    group: GroupId,
-    to: HostAddress | null,
-  ): Promise<void> => {
-    const pool = pools.get(group);
-    // The next owner would let the old primary acknowledge commits that the
-    // promotion loses.
-    pool?.beginSettling();
-    const settleDeadline = runtime.now() + SETTLE_TIMEOUT_MS;
-    while (pool?.isSettled() === false && runtime.now() < settleDeadline) {
-      await waitUntil(runtime, runtime.now() + HANDOVER_POLL_MS);
-    }
-    pool?.beginHandover();
-    const deadline = runtime.now() + HANDOVER_TIMEOUT_MS;
-    while (pool?.isIdle() === false && runtime.now() < deadline) {
-      await waitUntil(runtime, runtime.now() + HANDOVER_POLL_MS);
-    }
-    await ownership.release(group, to);
-  };
-
   return {
     entry,
     handleMessage,
@@ -556,9 +537,7 @@
       isDraining = true;
       ownership.stopClaiming();
       linkedHosts.forEach(host => send(host, {type: 'hello', isDraining}));
-      await Promise.all(
-        ownership.listOwnedGroups().map(group => releaseGroup(group, null)),
-      );
+      await handover.releaseAll();
     },
     close: () => {
       cancelLinkTimer();
@@ -568,6 +547,7 @@
       ownership.close();
       pools.forEach(pool => pool.close());
       pools.clear();
+      allowances?.close();
     },
   };
 }
