--- a/packages/pooler/src/decisions/allowance_homes.ts
+++ b/packages/pooler/src/decisions/allowance_homes.ts
@@ -32,10 +32,11 @@
 /** Part of the slack that new owners start with. */
 const INITIAL_SLACK_SHARE = 0.5;
 /**
- * Part of the slack that rounds small shares of a burst up to a whole token.
- * Otherwise a bucket might never hold one.
+ * Part of the slack that is added to the bursts of all homes together. Without
+ * it, a small share of a burst might never hold a whole token, and many small
+ * buckets overflow where a single one would not.
  */
-const ROUNDING_SLACK_SHARE = 0.4;
+const BURST_SLACK_SHARE = 0.4;
 const MS_PER_SECOND = 1_000;
 
 /** Returns the home groups of a workspace: all groups if there are few. */
@@ -58,8 +59,7 @@
   if (homes === 0 || isBlocked) {
     return {perMs: 0, capacity: 0, initial: 0};
   }
-  const rounded = Math.min(1, (ROUNDING_SLACK_SHARE * slack) / homes);
-  const capacity = Math.max(limit.burst / homes, rounded);
+  const capacity = (limit.burst + BURST_SLACK_SHARE * slack) / homes;
   return {
     perMs: limit.perSecond / MS_PER_SECOND / homes,
     capacity,
--- a/packages/pooler/src/decisions/allowance_lending.ts
+++ b/packages/pooler/src/decisions/allowance_lending.ts
@@ -24,8 +24,8 @@
 const MIN_NEED = 0.1;
 /** Time for which a lender that had nothing to spare is not asked, in ms. */
 const REPROBE_MS = 600;
-/** Weight of a lender that has not answered yet, in tokens. */
-const UNKNOWN_SPARE = 1;
+/** Time until an ask is answered, in ms: there and back between centres. */
+const ANSWER_MS = 15;
 
 /** Returns how long borrowed tokens are valid, in ms. */
 export function computeLoanMs(tolerance: AllowanceTolerance): number {
@@ -89,32 +89,78 @@
   return Math.max(0, tokens - kept);
 }
 
-/** An owner that may lend, and what it could spare when it last answered. */
+/** What a lender answered to the last ask. */
+export interface LenderHint {
+  /** What it could have lent in addition. */
+  readonly left: number;
+  readonly hadNothing: boolean;
+  readonly at: Instant;
+}
+
+/** An owner that may lend. */
 export interface Lender {
   readonly host: HostId;
-  readonly hint: {readonly spare: number; readonly at: Instant} | null;
+  /** What it is expected to lend. */
+  readonly spare: number;
+  /** When it may be asked again. */
+  readonly askableAt: Instant;
 }
 
-/** Returns what a lender may be expected to spare. */
-export function expectSpare({hint}: Lender, now: Instant): number {
-  if (hint === null) {
-    return UNKNOWN_SPARE;
+/** Returns what a lender is expected to lend, given the share of one home. */
+export function expectSpare(
+  hint: LenderHint | null,
+  share: {readonly perMs: number; readonly capacity: number},
+  now: Instant,
+): number {
+  const isOutdated = hint === null || now - hint.at >= REPROBE_MS;
+  if (isOutdated) {
+    return share.capacity / 2;
+  }
+  if (hint.hadNothing) {
+    return 0;
   }
-  const isOutdated = now - hint.at >= REPROBE_MS;
-  return isOutdated ? Math.max(hint.spare, UNKNOWN_SPARE) : hint.spare;
+  const minted = (now - hint.at) * share.perMs;
+  return Math.min(share.capacity, hint.left + minted);
 }
 
-/** Distributes a need over lenders, in proportion to what they can spare. */
+/**
+ * Chooses what to ask of which lenders. It asks as few as are expected to lend
+ * enough, so that the others can be asked for the next need without delay.
+ */
 export function splitNeed(
   need: number,
   lenders: readonly Lender[],
   now: Instant,
 ): ReadonlyMap<HostId, number> {
-  const weights = lenders.map(lender => expectSpare(lender, now));
-  const total = weights.reduce((sum, weight) => sum + weight, 0);
-  const parts = lenders.map(({host}, index): readonly [HostId, number] => [
-    host,
-    total === 0 ? 0 : (need * weights[index]!) / total,
-  ]);
-  return new Map(parts.filter(([, part]) => part > 0));
+  const askable = lenders
+    .filter(({spare, askableAt}) => spare > 0 && askableAt <= now)
+    .sort((a, b) => b.spare - a.spare);
+  const parts = new Map<HostId, number>();
+  let missing = need;
+  for (const {host, spare} of askable) {
+    if (missing <= 0) {
+      break;
+    }
+    parts.set(host, missing);
+    missing -= spare;
+  }
+  return parts;
+}
+
+/** Returns the time until lenders can have lent `missing` tokens, in ms. */
+export function expectLoanMs(
+  missing: number,
+  lenders: readonly Lender[],
+  now: Instant,
+): number {
+  let found = 0;
+  for (const {spare, askableAt} of [...lenders].sort(
+    (a, b) => a.askableAt - b.askableAt,
+  )) {
+    found += spare;
+    if (found >= missing) {
+      return Math.max(0, askableAt - now) + ANSWER_MS;
+    }
+  }
+  return Infinity;
 }
--- a/packages/pooler/src/model/message.ts
+++ b/packages/pooler/src/model/message.ts
@@ -142,8 +142,8 @@
 
 /** Tokens that were lent; the lender has deducted them. */
 export interface AllowanceLoan extends AllowanceNeed {
-  /** What the lender could have lent at most, for admission. */
-  readonly spare: number;
+  /** What the lender could have lent in addition, for admission. */
+  readonly left: number;
 }
 
 /** Answers an AllowanceAskMessage; loans are valid from the ask on. */
--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -192,7 +192,7 @@
         workspace: isString,
         admission: isAmount,
         start: isAmount,
-        spare: isAmount,
+        left: isAmount,
       }),
     ),
   }),
--- a/packages/pooler/src/owner/allowance_exchange.ts
+++ b/packages/pooler/src/owner/allowance_exchange.ts
@@ -13,6 +13,7 @@
   computeLoanMs,
   computeNeed,
   computeSpare,
+  expectLoanMs,
   expectSpare,
   NO_DEMAND,
   readDemand,
@@ -21,6 +22,7 @@
 import type {
   Demand,
   Lender,
+  LenderHint,
   TokenSupply,
 } from '../decisions/allowance_lending.js';
 import type {AllowanceTolerance} from '../decisions/allowance_homes.js';
@@ -68,10 +70,10 @@
   readonly expiresAt: Instant;
 }
 
-type Hint = NonNullable<Lender['hint']>;
-
-/** Time until an ask is answered, in ms: there and back between centres. */
-const ANSWER_MS = 15;
+/** Interval of rounds in which owners are asked that may be asked, in ms. */
+const ROUND_INTERVAL_MS = 25;
+/** A loan below this counts as nothing, in tokens. */
+const MIN_LOAN = 0.05;
 /** Interval of the log line on lending, in ms. */
 const REPORT_INTERVAL_MS = 10_000;
 /** Range of the random number of the first ask of a run. */
@@ -86,7 +88,8 @@
   const loanMs = computeLoanMs(tolerance);
   const short = new Set<WorkspaceId>();
   const asks = new Map<number, PendingAsk>();
-  const hints = new Map<WorkspaceId, Map<HostId, Hint>>();
+  const hints = new Map<WorkspaceId, Map<HostId, LenderHint>>();
+  const askedAt = new Map<HostId, Instant>();
   const inflows = new Map<WorkspaceId, Demand>();
   // An answer to an earlier run of this process must match no ask.
   let nextAsk = Math.floor(runtime.random() * FIRST_ASK_RANGE);
@@ -111,12 +114,18 @@
   };
 
   /** Lists the other owners of a workspace's home groups that are linked. */
-  const listLenders = ({workspace, homes}: Allowance): readonly Lender[] => {
+  const listLenders = (allowance: Allowance): readonly Lender[] => {
+    const {workspace, homes, share} = allowance;
+    const now = runtime.now();
     const owners = new Set(homes.map(cfg.findOwner));
     const known = hints.get(workspace);
     return [...owners]
       .filter(host => host !== null && host !== self && cfg.isLinked(host))
-      .map(host => ({host: host!, hint: known?.get(host!) ?? null}));
+      .map(host => ({
+        host: host!,
+        spare: expectSpare(known?.get(host!) ?? null, share, now),
+        askableAt: (askedAt.get(host!) ?? -Infinity) + ASK_INTERVAL_MS,
+      }));
   };
 
   const readSupply = (allowance: Allowance, stage: Stage): TokenSupply => {
@@ -142,18 +151,22 @@
     const {workspace} = allowance;
     const lenders = listLenders(allowance);
     const now = runtime.now();
-    const admission = splitNeed(needOf(allowance, 'admission'), lenders, now);
-    const start = splitNeed(needOf(allowance, 'start'), lenders, now);
+    const needs = {
+      admission: needOf(allowance, 'admission'),
+      start: needOf(allowance, 'start'),
+    };
+    const admission = splitNeed(needs.admission, lenders, now);
+    const start = splitNeed(needs.start, lenders, now);
     for (const host of new Set([...admission.keys(), ...start.keys()])) {
-      const needs = needsByHost.get(host) ?? [];
-      needs.push({
+      const known = needsByHost.get(host) ?? [];
+      known.push({
         workspace,
         admission: admission.get(host) ?? 0,
         start: start.get(host) ?? 0,
       });
-      needsByHost.set(host, needs);
+      needsByHost.set(host, known);
     }
-    return lenders.length > 0 && admission.size + start.size > 0;
+    return lenders.length > 0 && needs.admission + needs.start > 0;
   };
 
   /** Removes asks whose answers would come too late. */
@@ -181,6 +194,7 @@
     for (const [host, needs] of needsByHost) {
       const ask = nextAsk++;
       asked++;
+      askedAt.set(host, lastRoundAt);
       asks.set(ask, {
         host,
         needs: new Map(needs.map(need => [need.workspace, need])),
@@ -197,26 +211,29 @@
   };
 
   const scheduleRound = (): void => {
-    const at = Math.max(runtime.now(), lastRoundAt + ASK_INTERVAL_MS);
+    const at = Math.max(runtime.now(), lastRoundAt + ROUND_INTERVAL_MS);
     cancelRound ??= runtime.at(at, askOwners);
   };
 
-  const noteHint = (
-    workspace: WorkspaceId,
-    host: HostId,
-    spare: number,
-  ): void => {
-    const known = hints.get(workspace) ?? new Map<HostId, Hint>();
-    known.set(host, {spare, at: runtime.now()});
+  const noteHint = (host: HostId, loan: AllowanceLoan): void => {
+    const {workspace, left} = loan;
+    const known = hints.get(workspace) ?? new Map<HostId, LenderHint>();
+    const hadNothing = loan.admission + loan.start + left < MIN_LOAN;
+    known.set(host, {left, hadNothing, at: runtime.now()});
     hints.set(workspace, known);
   };
 
+  /** Returns what can be lent of a bucket, without what was borrowed. */
+  const computeOwnSpare = (allowance: Allowance, stage: Stage): number => {
+    const {level} = allowance.ledgers[stage].bucket;
+    const supply = {...readSupply(allowance, stage), tokens: level};
+    return computeSpare(supply, allowance.capacity);
+  };
+
   /** Deducts what can be lent of one bucket, and returns it. */
   const lend = (allowance: Allowance, stage: Stage, need: number): number => {
     const ledger = allowance.ledgers[stage];
-    const supply = readSupply(allowance, stage);
-    const own = {...supply, tokens: ledger.bucket.level};
-    const spare = computeSpare(own, allowance.capacity);
+    const spare = computeOwnSpare(allowance, stage);
     const amount = Math.min(Math.max(0, need), spare);
     ledger.bucket = {...ledger.bucket, level: ledger.bucket.level - amount};
     return amount;
@@ -229,17 +246,13 @@
   }: AllowanceNeed): AllowanceLoan => {
     const allowance = book.read(workspace);
     if (allowance === null) {
-      return {workspace, admission: 0, start: 0, spare: 0};
+      return {workspace, admission: 0, start: 0, left: 0};
     }
-    const loan = {
+    return {
       workspace,
       admission: lend(allowance, 'admission', admission),
       start: lend(allowance, 'start', start),
-    };
-    const supply = readSupply(allowance, 'admission');
-    return {
-      ...loan,
-      spare: loan.admission + computeSpare(supply, allowance.capacity),
+      left: computeOwnSpare(allowance, 'admission'),
     };
   };
 
@@ -277,15 +290,8 @@
         return 0;
       }
       const now = runtime.now();
-      const spare = listLenders(allowance).reduce(
-        (sum, lender) => sum + expectSpare(lender, now),
-        0,
-      );
-      if (spare < missing) {
-        return Infinity;
-      }
-      const untilRoundMs = Math.max(0, lastRoundAt + ASK_INTERVAL_MS - now);
-      return untilRoundMs + ANSWER_MS;
+      const untilRoundMs = Math.max(0, lastRoundAt + ROUND_INTERVAL_MS - now);
+      return untilRoundMs + expectLoanMs(missing, listLenders(allowance), now);
     },
     readInflow: workspace => {
       const inflow = inflows.get(workspace);
@@ -309,7 +315,7 @@
       for (const loan of loans) {
         const need = pending.needs.get(loan.workspace);
         if (need !== undefined) {
-          noteHint(loan.workspace, host, loan.spare);
+          noteHint(host, loan);
           borrow(need, loan, pending.expiresAt);
         }
       }
