Bound what clients and unknown connections make a host hold

Cause: no limit was shared by the sessions of a host, an unfinished line was joined and searched again for each piece, a session closed for its unread answers stayed for 20 to 40 s, and the port between hosts took frames of 64 MiB before a hello. Values and prepared statements of a session are limited to 1.2 MB. Connections between hosts without a hello are limited to 64 connections, 64 KiB and 2 s.

--- a/packages/peer/src/frames.ts
+++ b/packages/peer/src/frames.ts
@@ -25,6 +25,9 @@
 /** Any frame. */
 export type Frame = HelloFrame | BatchFrame;
 
+/** Longest name of a host that is accepted. */
+const MAX_NAME_LENGTH = 1_000;
+
 /** Encodes objects as plain maps, so that each frame can be decoded on its own. */
 const packr = new Packr({useRecords: false, useBigIntExtension: true});
 
@@ -57,6 +60,7 @@
     type === 'hello' &&
     typeof host === 'string' &&
     host !== '' &&
+    host.length <= MAX_NAME_LENGTH &&
     typeof incarnation === 'string' &&
     typeof stamp === 'string';
   return isValid ? {type, host, incarnation, stamp} : null;
--- a/packages/peer/src/limits.ts
+++ b/packages/peer/src/limits.ts
@@ -28,3 +28,13 @@
 export const MAX_ACCEPTED_CONNECTIONS = 4_096;
 /** Time to send buffered messages on close, in milliseconds. */
 export const CLOSE_TIMEOUT_MS = 500;
+/**
+ * Most bytes that are accepted before a hello, with the upgrade request: a hello
+ * holds two names and a stamp.
+ */
+export const MAX_BYTES_BEFORE_HELLO = 64 * 1024;
+/**
+ * Maximum number of accepted connections without a hello; a host says hello
+ * within one round trip. Beyond it, the oldest is closed.
+ */
+export const MAX_CONNECTIONS_BEFORE_HELLO = 64;
--- a/packages/peer/src/peer_adapter.ts
+++ b/packages/peer/src/peer_adapter.ts
@@ -3,7 +3,7 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {Subject} from 'rxjs';
 import type {Observable} from 'rxjs';
 import {WebSocket, WebSocketServer} from 'ws';
@@ -20,6 +20,8 @@
   MAX_FRAME_BYTES,
   RECEIVE_TIMEOUT_MS,
 } from './limits.js';
+import {createNewConnections} from './new_connections.js';
+import type {NewConnections} from './new_connections.js';
 import {createPeer} from './peer.js';
 import type {LinkSide, Peer} from './peer.js';
 import type {PeerEvent, TypedMessage} from './typed_message.js';
@@ -44,6 +46,8 @@
   readonly resolveAddress: (host: HostId) => string | null;
   /** Heartbeats of idle connections; a default applies without it. */
   readonly heartbeats?: IdleHeartbeats;
+  /** Called when an accepted connection is closed before its hello. */
+  readonly onDropped?: (reason: string) => void;
 }
 
 /** Sends messages to other entry hosts and receives theirs. */
@@ -142,7 +146,11 @@
     }
   };
 
-  const accept = (socket: WebSocket): void => {
+  const newConnections = createNewConnections(runtime, reason =>
+    cfg.onDropped?.(reason),
+  );
+
+  const accept = (socket: WebSocket, tcpSocket: Socket): void => {
     let peer: Peer | null = null;
     const side: LinkSide = 'accepted';
     addLink(socket, {
@@ -151,6 +159,7 @@
         if (isClosing || hello.host === cfg.host) {
           return false;
         }
+        newConnections.release(tcpSocket);
         peer = findPeer(hello.host);
         peer.open(side, link, hello.incarnation);
         return true;
@@ -184,7 +193,7 @@
       send: ({host, msg}) => findPeer(host).send(msg),
     },
     listen: async () => {
-      server = createPeerServer(accept);
+      server = createPeerServer(accept, newConnections);
       server.listen(cfg.listenPort, cfg.sourceAddress);
       await once(server, 'listening');
       // An error while accepting a connection must not stop the listener.
@@ -239,17 +248,23 @@
 }
 
 /** Creates the server to which other hosts connect. */
-function createPeerServer(accept: (socket: WebSocket) => void): Server {
+function createPeerServer(
+  accept: (socket: WebSocket, tcpSocket: Socket) => void,
+  newConnections: NewConnections,
+): Server {
   const server = createServer((_req, res) => {
     res.writeHead(UPGRADE_REQUIRED_STATUS).end();
   });
   server.maxConnections = MAX_ACCEPTED_CONNECTIONS;
+  server.on('connection', newConnections.add);
   const webSocketServer = new WebSocketServer({
     server,
     perMessageDeflate: false,
     maxPayload: MAX_FRAME_BYTES,
   });
-  webSocketServer.on('connection', accept);
+  webSocketServer.on('connection', (socket, {socket: tcpSocket}) =>
+    accept(socket, tcpSocket),
+  );
   return server;
 }
 
--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -14,7 +14,7 @@
 import type {HostPorts} from '../ports.js';
 import {createRecords} from '../records.js';
 import type {CallerFault, CallerReply} from './caller_reply.js';
-import {describeFault, FAULT_TEXTS} from './fault_texts.js';
+import {describeFault, FAULT_TEXTS, TOO_MUCH_KEPT_TEXT} from './fault_texts.js';
 import {
   CLOSE_INTERVAL_MS,
   DEADLINE_GRACE_MS,
@@ -22,6 +22,7 @@
   RESEND_DELAY_MS,
   SESSION_IDLE_MS,
 } from './limits.js';
+import {countKeptBytes, exceedsKeptBytes} from './session.js';
 import type {Caller, ReceivedStatement, Request} from './session.js';
 
 /** What a caller's next statement runs with. */
@@ -97,6 +98,8 @@
   /** Counts callers that are within an operation. */
   readonly countBusyCallers: () => number;
   readonly countCallers: () => number;
+  /** Counts the bytes of a session's values and prepared statements. */
+  readonly countKeptBytes: (caller: number) => number;
 }
 
 /** Creates the entry of a host. */
@@ -629,6 +632,10 @@
       answerFault(id, 'bad_request');
       return;
     }
+    if (exceedsKeptBytes(caller, statement)) {
+      answerFault(id, 'bad_request', TOO_MUCH_KEPT_TEXT);
+      return;
+    }
     STATEMENT_HANDLERS[statement.type](caller, received, statement as never);
   };
 
@@ -800,6 +807,7 @@
     },
     countBusyCallers: () => callers.list().filter(isBusy).length,
     countCallers: () => callers.count(),
+    countKeptBytes: id => countKeptBytes(callers.get(id)),
   };
 }
 
--- a/packages/pooler/src/entry/fault_texts.ts
+++ b/packages/pooler/src/entry/fault_texts.ts
@@ -26,3 +26,7 @@
 ): string {
   return `${FAULT_TEXTS[fault] ?? fault} (${reason}, request ${request})`;
 }
+
+/** Text of the error for a value or prepared statement beyond the limit. */
+export const TOO_MUCH_KEPT_TEXT =
+  'the session keeps too many values and prepared statements; connect again';
--- a/packages/pooler/src/entry/session.ts
+++ b/packages/pooler/src/entry/session.ts
@@ -64,3 +64,33 @@
   readonly sentTo: HostId | null;
   readonly attempts: number;
 }
+
+/** Most that a session may keep as values and prepared statements, in bytes. */
+const MAX_KEPT_BYTES = 1_200_000;
+/** Bytes that each of them costs beside its text. */
+const KEPT_COST_BYTES = 100;
+
+/** Returns the bytes of a session's values and prepared statements. */
+export function countKeptBytes(caller: Caller | undefined): number {
+  let bytes = 0;
+  for (const [name, value] of caller?.values ?? []) {
+    bytes += name.length + value.length + KEPT_COST_BYTES;
+  }
+  for (const [name, {shape}] of caller?.prepared ?? []) {
+    bytes += name.length + shape.length + KEPT_COST_BYTES;
+  }
+  return bytes;
+}
+
+/** Returns whether a statement makes a session keep more than it may. */
+export function exceedsKeptBytes(
+  caller: Caller,
+  statement: CallerStatement,
+): boolean {
+  if (statement.type !== 'set' && statement.type !== 'prepare') {
+    return false;
+  }
+  const text = statement.type === 'set' ? statement.value : statement.shape;
+  const added = statement.name.length + text.length + KEPT_COST_BYTES;
+  return countKeptBytes(caller) + added > MAX_KEPT_BYTES;
+}
