--- a/packages/pooler/src/entry/fault_texts.ts
+++ b/packages/pooler/src/entry/fault_texts.ts
@@ -37,3 +37,7 @@
     reason === 'over_allowance' ? OVER_ALLOWANCE_TEXT : FAULT_TEXTS[fault];
   return `${cause ?? fault}${wait} (${reason}, request ${request})`;
 }
+
+/** Text of the error for a value or prepared statement beyond the limit. */
+export const TOO_MUCH_KEPT_TEXT =
+  'the session keeps too many values and prepared statements; connect again';
