Live through a store that is restored from an older copy

Cause: revisions were kept as the store counts them. After the store was restored from a copy, an owner ignored its record for the lower revision and could not renew it again; a watch continued from a revision that was given out again, and a former owner could follow the copy.

Change: the adapter gives out era x 2^36 + revision, refuses writes whose base is of an earlier era, ignores answers of an earlier era and lists again when the era rises. Records hold the era of their writer. A copy never replaces newer knowledge, and a record that was not written in the present era is claimed only after 15 s. Host entries are written again, and an older report of an endpoint is not applied.

Unit tests of pooler, platform and packages/platform: 325 passed, 1 skipped. The ownership model passes its 80 runs for each test.

--- a/packages/platform/src/http_call.ts
+++ b/packages/platform/src/http_call.ts
@@ -1,7 +1,7 @@
 /** One HTTP call to the platform, with a deadline. */
 
 import {request} from 'node:http';
-import type {Agent, IncomingMessage} from 'node:http';
+import type {Agent, IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {Instant, Runtime} from '@lacewingroad/runtime';
 
 /** Maximum size of an answer, in bytes. */
@@ -30,6 +30,8 @@
   | {
       readonly type: 'answered';
       readonly status: number;
+      /** By lower-case name. */
+      readonly headers: IncomingHttpHeaders;
       /** The parsed JSON body, or undefined if it is not JSON. */
       readonly body: unknown;
     }
@@ -153,6 +155,7 @@
           settle({
             type: 'answered',
             status: res.statusCode ?? 0,
+            headers: res.headers,
             body: parseJson(text),
           }),
         (err: unknown) => fail(String(err)),
--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -3,6 +3,11 @@
 import {createVirtualRuntime} from '@lacewingroad/runtime';
 import type {Runtime, VirtualRuntime} from '@lacewingroad/runtime';
 import type {CallerReply} from '../entry/caller_reply.js';
+import {
+  joinRevision,
+  readEra,
+  readStoreRevision,
+} from '../decisions/store_era.js';
 import {createHost} from '../host.js';
 import type {Host} from '../host.js';
 import type {EndpointList, RouteTable} from '../model/directory.js';
@@ -22,6 +27,8 @@
 const CONNECT_MS = 2;
 /** Timeout of a promotion call, in ms. */
 const PROMOTE_CALL_MS = 1_000;
+/** Interval at which the watches of records see a new era, in ms. */
+const ERA_POLL_MS = 100;
 /** Interval at which a watch of the endpoints is answered, in ms. */
 const ENDPOINT_POLL_MS = 100;
 export const GROUP = 'ledger';
@@ -30,6 +37,8 @@
 interface FleetHost {
   readonly name: string;
   readonly dataCentre: string;
+  /** The newest era that the store's answers have shown to the process. */
+  seenEra: number;
   host: Host;
   isUp: boolean;
   /** The process is suspended: it receives nothing and its clock stops. */
@@ -100,7 +109,10 @@
     readonly faults: Map<string, StoreFault>;
     /** Hosts whose calls the store refuses. */
     readonly refusedHosts: Set<string>;
+    /** The record; its revision includes the era. */
     record: StoredOwnership | null;
+    /** Raised by each restoration from an older copy. */
+    era: number;
     table: RouteTable;
     /** Endpoints whose entries have expired. */
     readonly unlisted: Set<string>;
@@ -112,6 +124,8 @@
   /** Hosts that watch the list of endpoints. */
   readonly endpointWatchers: ReadonlySet<string>;
   /** Lists the hosts that watch the table. */
+  /** Restores the store from a copy that lacks the last `changes`. */
+  readonly rollBack: (changes: number) => void;
   readonly listTableWatchers: () => readonly string[];
   /** Replaces the table in the store. */
   readonly setTable: (table: RouteTable) => void;
@@ -181,12 +195,16 @@
     faults: new Map(),
     refusedHosts: new Set(),
     record: null,
+    era: 0,
     table: TABLE,
     unlisted: new Set(),
     conflicts: 0,
   };
   const receivedCalls: ReceivedCall[] = [];
+  /** The newest revision as the store counts it. */
   let revision = 100;
+  /** The records before each change, and the revision then. */
+  const history: {record: StoredOwnership | null; revision: number}[] = [];
   let nextCaller = 1;
 
   const pairKey = (a: string, b: string): string => [a, b].sort().join('~');
@@ -240,6 +258,24 @@
   const readStoreFault = (name: string): StoreFault =>
     store.faults.get(name) ?? NO_STORE_FAULT;
 
+  /** Lists the record to a host whose answers show a newer era. */
+  const noteEra = (name: string): void => {
+    const target = get(name);
+    if (target.seenEra >= store.era || target.isPaused) {
+      return;
+    }
+    target.seenEra = store.era;
+    const {record: stored, era} = store;
+    runtime.at(runtime.now() + STORE_MS, () =>
+      deliver(name, () => {
+        if (era === store.era) {
+          const list = stored === null ? [] : [stored];
+          get(name).host.updateOwnerships(list, true, era);
+        }
+      }),
+    );
+  };
+
   /** Calls the store; a call without an answer may be executed after it. */
   const callStore = <T>(
     name: string,
@@ -264,6 +300,7 @@
         }
         const value = fn();
         if (!isLost) {
+          noteEra(name);
           answer(STORE_MS, {value});
         }
       });
@@ -279,6 +316,7 @@
           store.record !== null
         ) {
           const stored = store.record;
+          noteEra(name);
           deliver(name, () => get(name).host.updateOwnerships([stored], false));
         }
       });
@@ -452,14 +490,24 @@
             return typeof result === 'string' ? undefined : result.value;
           },
           write: async (ownership, base): Promise<WriteResult> => {
+            const sentEra = readEra(base ?? 0);
+            if (sentEra < get(name).seenEra) {
+              return {type: 'refused', detail: 'base of an earlier era'};
+            }
+            const baseInStore = readStoreRevision(base ?? 0);
             const result = await callStore(name, (): WriteResult => {
-              if ((store.record?.revision ?? null) !== base) {
+              const {record: standing, era} = store;
+              if (readStoreRevision(standing?.revision ?? 0) !== baseInStore) {
                 store.conflicts++;
-                return {type: 'conflict', standing: store.record};
+                return {type: 'conflict', standing};
               }
-              store.record = {ownership, revision: ++revision};
+              history.push({record: standing, revision});
+              const written = joinRevision(era, ++revision);
+              store.record = {ownership, revision: written};
               notifyWatches();
-              return {type: 'written', revision};
+              return era === sentEra
+                ? {type: 'written', revision: written}
+                : {type: 'unknown', detail: 'the store was restored'};
             });
             if (result === 'no_answer') {
               return {type: 'unknown', detail: 'no answer'};
@@ -473,8 +521,11 @@
     });
     target.host = host;
     host.updateHosts(listEntries());
+    target.seenEra = 0;
     if (canReachStore(name)) {
-      host.updateOwnerships(store.record === null ? [] : [store.record], true);
+      target.seenEra = store.era;
+      const list = store.record === null ? [] : [store.record];
+      host.updateOwnerships(list, true, store.era);
     }
   };
 
@@ -484,6 +535,7 @@
       hosts.set(name, {
         name,
         dataCentre,
+        seenEra: 0,
         host: null as unknown as Host,
         isUp: false,
         isPaused: false,
@@ -502,6 +554,36 @@
   }
   [...hosts.keys()].forEach(start);
 
+  /** Lets the watches of all hosts that reach the store see a new era. */
+  const pollEra = (): void => {
+    for (const {name, isUp} of hosts.values()) {
+      if (isUp && canReachStore(name) && readStoreFault(name).lostShare < 1) {
+        noteEra(name);
+      }
+    }
+    runtime.at(runtime.now() + ERA_POLL_MS, pollEra);
+  };
+
+  const rollBack = (changes: number): void => {
+    const index = Math.max(0, history.length - changes);
+    const copy = history.splice(index)[0] ?? {record: store.record, revision};
+    store.era++;
+    revision = copy.revision;
+    store.record =
+      copy.record === null
+        ? null
+        : {
+            ...copy.record,
+            revision: joinRevision(
+              store.era,
+              readStoreRevision(copy.record.revision),
+            ),
+          };
+    if (store.era === 1) {
+      pollEra();
+    }
+  };
+
   const dropLinks = (name: string, afterMs: number): void => {
     runtime.at(runtime.now() + afterMs, () => {
       for (const other of hosts.keys()) {
@@ -530,6 +612,7 @@
     store,
     receivedCalls,
     endpointWatchers,
+    rollBack,
     listTableWatchers: () =>
       [...new Set([...tableWatches].map(({name}) => name))].filter(
         name => get(name).isUp,
--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -55,10 +55,14 @@
   readonly handleMessage: (host: HostId, msg: PoolMessage) => void;
   readonly handleLinkChange: (host: HostId, isUp: boolean) => void;
   readonly updateHosts: (hosts: readonly HostEntry[]) => void;
-  /** Applies ownership records; `isComplete` if the list holds all of them. */
+  /**
+   * Applies ownership records; `isComplete` if the list holds all that the store
+   * had in its present era.
+   */
   readonly updateOwnerships: (
     stored: readonly StoredOwnership[],
     isComplete: boolean,
+    era?: number,
   ) => void;
   /** Returns the `IP:PORT` of a host, or null if it is unknown. */
   readonly resolveAddress: (host: HostId) => string | null;
@@ -100,7 +104,6 @@
   /** Hosts in other data centres; all other hosts if there is only one. */
   let remoteHosts: readonly HostEntry[] = [];
   let rankedRemoteHosts: readonly HostId[] = [];
-  let isListComplete = false;
   let isDraining = false;
   let wasCutOff = false;
   /** Since when no remote host is linked; null if there are no remote hosts. */
@@ -176,7 +179,6 @@
     readGroups,
     readHosts: () => hosts,
     isReachable: host => isLinked(host) && !stoppingHosts.has(host),
-    isListComplete: () => isListComplete,
     mayServe: () => !hasLostRemoteLinks(),
     readLineage: group => pools.get(group)?.readLineage() ?? null,
     onGained: group => {
@@ -541,13 +543,10 @@
       tableFeed.updateHosts(hosts);
       entries.forEach(({host, address}) => addresses.set(host, address));
     },
-    updateOwnerships: (stored, isComplete) => {
-      if (isComplete && !isListComplete) {
-        ownership.applyFirstList(stored);
-        isListComplete = true;
-      }
-      stored.forEach(ownership.applyRecord);
-    },
+    updateOwnerships: (stored, isComplete, era = 0) =>
+      isComplete
+        ? ownership.applyList(stored, era)
+        : stored.forEach(ownership.applyRecord),
     resolveAddress: host => addresses.get(host) ?? null,
     isReady: () => owners.size > 0 && !isDraining && reachesEnoughOwners(),
     listOwnedGroups: ownership.listOwnedGroups,
--- a/packages/pooler/src/index.ts
+++ b/packages/pooler/src/index.ts
@@ -3,6 +3,12 @@
  * goes through ports.
  */
 
+export {
+  getMissingRevision,
+  joinRevision,
+  readEra,
+  readStoreRevision,
+} from './decisions/store_era.js';
 export * from './model/directory.js';
 export * from './model/message.js';
 export * from './model/ownership.js';
--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -90,6 +90,7 @@
     deputies: listOf(isAddress),
     renewals: isNumber,
     lineage: optional(orNull(isLineage)),
+    era: optional(isNumber),
   }),
 });
 
--- a/packages/pooler/src/model/ownership.ts
+++ b/packages/pooler/src/model/ownership.ts
@@ -55,6 +55,11 @@
   readonly renewals: number;
   /** Null if no owner has known a primary yet. */
   readonly lineage: GroupLineage | null;
+  /**
+   * Era of the store that the writer knew; missing in the records of earlier
+   * versions, which counts as 0.
+   */
+  readonly era?: number | undefined;
 }
 
 /** Returns the owner and its deputies. */
@@ -68,6 +73,7 @@
 /** A record and its revision in the store. */
 export interface StoredOwnership {
   readonly ownership: Ownership;
+  /** Includes the store's era, see `decisions/store_era.ts`. */
   readonly revision: number;
 }
 
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -15,7 +15,6 @@
   computePromiseQuorumTime,
   computeTakeoverTime,
 } from '../decisions/lease.js';
-import type {HeldLease} from '../decisions/lease.js';
 import {
   assignGroups,
   chooseDeputies,
@@ -29,6 +28,7 @@
   LeaseGrantMessage,
 } from '../model/message.js';
 import type {
+  EndpointRun,
   GroupLineage,
   HostAddress,
   HostEntry,
@@ -36,8 +36,19 @@
   StoredOwnership,
   WriteResult,
 } from '../model/ownership.js';
+import {
+  computeCopyClaimTime,
+  getMissingRevision,
+  isCopy,
+  isWrittenIn,
+  readEra,
+} from '../decisions/store_era.js';
 import type {HostPorts} from '../ports.js';
 import {createRecords} from '../records.js';
+import {createReceivedRecords} from './received_records.js';
+import type {ReceivedRecords} from './received_records.js';
+import {addPendingWrite, createRecordState} from './record_state.js';
+import type {RecordState} from './record_state.js';
 
 /** Interval of lease requests to deputies, in ms: four per promise period. */
 const ASK_INTERVAL_MS = 300;
@@ -70,45 +81,11 @@
  * which the process counts as suspended: the monotonic clock stops then.
  */
 const SUSPENSION_THRESHOLD_MS = 60;
-
-/** The writes that may have replaced one revision of a record. */
-interface PendingWrites {
-  /** The revision that they replace; null if they create the record. */
-  readonly base: number | null;
-  /** Send time of the first of them. */
-  readonly firstSentAt: Instant;
-  readonly lastSentAt: Instant;
-}
-
-/** What the controller knows about a group's record. */
-interface RecordState {
-  readonly group: GroupId;
-  readonly stored: StoredOwnership | null;
-  /** When this revision of the record was first seen. */
-  readonly seenAt: Instant;
-  readonly promisedUntil: Instant;
-  /** The newest revision for which this host consented to a takeover. */
-  readonly consentedRevision: number;
-  /** Deputies that consented to a takeover of this revision of the record. */
-  readonly consents: ReadonlySet<HostId>;
-  /** Set while this host is the owner. */
-  readonly lease: HeldLease | null;
-  /** When this host became the owner. */
-  readonly gainedAt: Instant;
-  /** When the lease was first seen to have expired; null while it is valid. */
-  readonly expiredAt: Instant | null;
-  /** Whether this host was reported to be unable to act as the owner. */
-  readonly isInactive: boolean;
-  readonly askedAt: Instant;
-  readonly asks: ReadonlyMap<number, {host: HostId; sentAt: Instant}>;
-  readonly writtenAt: Instant;
-  readonly isWriting: boolean;
-  /** This host's last writes, if one of them may have been executed. */
-  readonly pendingWrites: PendingWrites | null;
-  /** Hosts that were asked for promises before they become deputies. */
-  readonly nextDeputies: readonly HostId[];
-  readonly isReleasing: boolean;
-}
+/**
+ * Stands for a run that a lineage may lack: a promotion then needs the log of
+ * one more endpoint, until the run counts as gone.
+ */
+const UNKNOWN_RUN: EndpointRun = {endpoint: 'unknown', startedAt: 0};
 
 /** Dependencies of the controller. */
 export interface OwnershipConfig {
@@ -119,8 +96,6 @@
   readonly readHosts: () => readonly HostEntry[];
   /** Returns whether a host is reachable and not stopping. */
   readonly isReachable: (host: HostId) => boolean;
-  /** Returns whether the complete list of records has been read. */
-  readonly isListComplete: () => boolean;
   /**
    * Returns what this host knows of an owned group's endpoints; null if it
    * knows no more than the record.
@@ -143,8 +118,8 @@
 export interface OwnershipController {
   /** Applies a record received from the store or from another host. */
   readonly applyRecord: (stored: StoredOwnership) => void;
-  /** Sets the initial revision from the first complete list that was read. */
-  readonly applyFirstList: (stored: readonly StoredOwnership[]) => void;
+  /** Applies the complete list of records, and the era of the store. */
+  readonly applyList: ReceivedRecords['applyList'];
   readonly handleAsk: (host: HostId, msg: LeaseAskMessage) => void;
   readonly handleGrant: (host: HostId, msg: LeaseGrantMessage) => void;
   readonly handleConsentAsk: (host: HostId, msg: ConsentAskMessage) => void;
@@ -174,41 +149,6 @@
   readonly close: () => void;
 }
 
-function createRecordState(
-  group: GroupId,
-  promisedUntil: Instant,
-): RecordState {
-  return {
-    group,
-    stored: null,
-    seenAt: -Infinity,
-    promisedUntil,
-    consentedRevision: -Infinity,
-    consents: new Set(),
-    lease: null,
-    gainedAt: -Infinity,
-    expiredAt: null,
-    isInactive: false,
-    askedAt: -Infinity,
-    asks: new Map(),
-    writtenAt: -Infinity,
-    isWriting: false,
-    pendingWrites: null,
-    nextDeputies: [],
-    isReleasing: false,
-  };
-}
-
-function addPendingWrite(
-  earlier: PendingWrites | null,
-  base: number | null,
-  sentAt: Instant,
-): PendingWrites {
-  const isSameBase = earlier !== null && earlier.base === base;
-  const firstSentAt = isSameBase ? earlier.firstSentAt : sentAt;
-  return {base, firstSentAt, lastSentAt: sentAt};
-}
-
 function listDeputies({deputies}: Ownership): readonly HostId[] {
   return deputies.map(({host}) => host);
 }
@@ -243,7 +183,7 @@
   let mayClaim = true;
   let clockOffset = runtime.wallNow() - runtime.now();
 
-  /** The newest revision in the first complete list that was read. */
+  /** The newest revision in the first complete list; Infinity before it. */
   let initialRevision = Infinity;
 
   const getState = (group: GroupId): RecordState => {
@@ -306,40 +246,23 @@
     return lease === null ? -Infinity : computeLeaseExpiry(lease);
   };
 
-  const setStored = (group: GroupId, stored: StoredOwnership): void => {
-    const state = getState(group);
-    const known = state.stored?.revision ?? -1;
-    if (stored.revision <= known) {
-      return;
-    }
-    const before = state.stored?.ownership ?? null;
-    records.update(group, {
-      stored,
-      seenAt: runtime.now(),
-      consents: new Set(),
-    });
-    const {ownership} = stored;
-    if (before?.generation !== ownership.generation) {
-      record('info', 'owner_changed', {
-        group,
-        owner: ownership.owner.host,
-        generation: ownership.generation,
-        before: before?.owner.host ?? null,
-        revision: stored.revision,
-      });
-    }
-    if (state.lease !== null && !isOwnRecord(ownership)) {
-      dropOwnership(group, 'another host owns the group');
-    }
-    cfg.onRecordChanged(ownership);
-  };
-
   const dropOwnership = (group: GroupId, reason: string): void => {
     records.update(group, {lease: null});
     record('warn', 'ownership_lost', {group, reason});
     cfg.onLost(group);
   };
 
+  const received = createReceivedRecords({
+    runtime,
+    record,
+    records,
+    getState,
+    isOwnRecord,
+    hasValidLease,
+    dropOwnership,
+    onRecordChanged: cfg.onRecordChanged,
+  });
+
   /** Sends a group's record to other hosts. */
   const sendRecord = (group: GroupId, hosts: Iterable<HostId>): void => {
     const {stored} = getState(group);
@@ -387,13 +310,19 @@
       toAddress,
     );
 
+  /** Returns the revision that a write replaces; null if there never was one. */
+  const findBaseRevision = (base: StoredOwnership | null): number | null => {
+    const {era} = received.readEra();
+    return base?.revision ?? (era === 0 ? null : getMissingRevision(era));
+  };
+
   /** Writes a record and applies the result. */
   const write = async (
     ownership: Ownership,
     base: StoredOwnership | null,
   ): Promise<WriteResult> => {
     const {group} = ownership;
-    const baseRevision = base?.revision ?? null;
+    const baseRevision = findBaseRevision(base);
     const sentAt = runtime.now();
     const {pendingWrites: earlier} = getState(group);
     const pendingWrites = addPendingWrite(earlier, baseRevision, sentAt);
@@ -405,10 +334,10 @@
       records.update(group, {pendingWrites: null});
     }
     if (result.type === 'written') {
-      setStored(group, {ownership, revision: result.revision});
+      received.apply({ownership, revision: result.revision});
     }
     if (result.type === 'conflict' && result.standing !== null) {
-      setStored(group, result.standing);
+      received.apply(result.standing);
     }
     if (result.type === 'unknown') {
       await rereadRecord(group);
@@ -420,22 +349,25 @@
   const rereadRecord = async (group: GroupId): Promise<void> => {
     const stored = await store.read(group);
     if (stored !== null && stored !== undefined) {
-      setStored(group, stored);
+      received.apply(stored);
     }
   };
 
   const claim = async (group: GroupId): Promise<void> => {
     const state = getState(group);
     const base = state.stored;
+    const baseRevision = findBaseRevision(base);
+    const era = readEra(baseRevision ?? 0);
     const deputies = pickDeputies(group);
     const ownership: Ownership = {
       group,
       owner: toAddress(self),
       incarnation,
-      generation: (base?.revision ?? 0) + 1,
+      generation: (baseRevision ?? 0) + 1,
       deputies,
       renewals: 0,
-      lineage: base?.ownership.lineage ?? null,
+      lineage: base === null ? null : findClaimLineage(base, era),
+      era,
     };
     const sentAt = runtime.now();
     const result = await write(ownership, base);
@@ -444,9 +376,10 @@
     const isOwner =
       gainedAt < sentAt &&
       pendingWrites !== null &&
-      pendingWrites.base === (base?.revision ?? null) &&
+      pendingWrites.base === baseRevision &&
       stored !== null &&
-      stored.revision > (base?.revision ?? -1) &&
+      stored.revision > (baseRevision ?? -1) &&
+      isWrittenIn(stored, era) &&
       isOwnRecord(stored.ownership);
     if (isOwner) {
       // If not this write made the record, an earlier one without an answer did.
@@ -465,7 +398,7 @@
       generation: ownership.generation,
       deputies: deputies.map(({host}) => host).join(),
       detail: 'detail' in result ? result.detail : null,
-      base: base?.revision ?? null,
+      base: baseRevision,
       is_owner: isOwner,
       took_ms: Math.round(now - sentAt),
       lease_left_ms: isOwner ? Math.round(readLeaseExpiry(group) - now) : null,
@@ -486,6 +419,7 @@
       generation: stored.revision + 1,
       deputies: deputies.filter(({host}) => host !== next.host),
       lineage,
+      era: readEra(stored.revision),
     };
     const result = await write(ownership, stored);
     record('info', 'ownership_released', {
@@ -522,6 +456,20 @@
   const findLineage = ({group, lineage}: Ownership): GroupLineage | null =>
     cfg.readLineage(group) ?? lineage ?? null;
 
+  /**
+   * Returns the lineage that a claim of a record leaves. That of a copy may lack
+   * runs that joined after it was taken.
+   */
+  const findClaimLineage = (
+    stored: StoredOwnership,
+    era: number,
+  ): GroupLineage | null => {
+    const {lineage = null} = stored.ownership;
+    return lineage === null || isWrittenIn(stored, era)
+      ? lineage
+      : {...lineage, members: [...lineage.members, UNKNOWN_RUN]};
+  };
+
   /** Returns whether the record of an owned group has an outdated lineage. */
   const isLineageOutdated = (ownership: Ownership): boolean => {
     const lineage = cfg.readLineage(ownership.group);
@@ -580,6 +528,7 @@
       deputies,
       renewals: before.renewals + 1,
       lineage: findLineage(before),
+      era: readEra(stored!.revision),
     };
     const result = await write(ownership, stored);
     const current = getState(group);
@@ -603,7 +552,12 @@
     }
     if (result.type === 'written') {
       // Deputies consent only to the current revision, so they need to know it.
-      sendRecord(group, heldSets.flat().concat(hosts));
+      // Hosts that know no more than a copy of the record follow its owner.
+      if (isCopy(stored!)) {
+        broadcastRecord(group);
+      } else {
+        sendRecord(group, heldSets.flat().concat(hosts));
+      }
       return;
     }
     record('warn', 'ownership_not_renewed', {
@@ -650,6 +604,7 @@
       arePromisesStale ||
       isRenewalDue ||
       hasUnreachableDeputy ||
+      isCopy(stored!) ||
       isLineageOutdated(stored!.ownership);
     if (needsRenewal && mayWriteNow && !isWriting && !isReleasing) {
       void renew(getState(group), now);
@@ -696,6 +651,10 @@
       }
       return;
     }
+    if (!isWrittenIn(stored, received.readEra().era)) {
+      reviewCopy(state, now);
+      return;
+    }
     const {owner} = stored.ownership;
     if (mayServe && owner.host === self.host) {
       // The owner is an earlier run of this process, or the group was handed
@@ -724,11 +683,33 @@
     }
   };
 
+  /**
+   * Takes over a group whose record has not been written in the present era,
+   * once no lease of an earlier era can be valid.
+   */
+  const reviewCopy = (
+    {group, stored, seenAt, promisedUntil}: RecordState,
+    now: Instant,
+  ): void => {
+    const known = received.readEra();
+    const isRead = readEra(stored!.revision) === known.era;
+    const observed = {seenAt, promisedUntil, rank: 0};
+    if (!isRead || now < computeCopyClaimTime(observed, known)) {
+      return;
+    }
+    const rank = findRank(group, stored!.ownership);
+    if (now >= computeCopyClaimTime({...observed, rank}, known)) {
+      void claim(group);
+    }
+  };
+
   /** Takes over a group if enough deputies have consented. */
   const claimWithConsents = (group: GroupId): boolean => {
     const {stored, consents, lease, isWriting} = getState(group);
     const needed = countConsentsNeeded(stored?.ownership.deputies.length ?? 0);
-    const canClaim = lease === null && !isWriting && mayClaim;
+    const isCurrent =
+      stored !== null && isWrittenIn(stored, received.readEra().era);
+    const canClaim = lease === null && !isWriting && mayClaim && isCurrent;
     if (!canClaim || consents.size < needed) {
       return false;
     }
@@ -747,13 +728,18 @@
 
   /** Returns when this host may create the missing record of a group. */
   const findCreationTime = (group: GroupId): Instant => {
-    if (!cfg.isListComplete()) {
+    if (initialRevision === Infinity) {
       return Infinity;
     }
     const assigned = assignGroups(cfg.readGroups(), cfg.readHosts()).get(group);
     const index = rankHosts(group).indexOf(self.host);
     const rank = assigned === self.host ? 0 : Math.max(0, index) + 1;
-    return startedAt + FIRST_RECORD_DELAY_MS + rank * CREATE_STAGGER_MS;
+    // In a later era, an owner may act whose record was lost.
+    const from = Math.max(
+      startedAt + FIRST_RECORD_DELAY_MS,
+      received.readEra().seenAt + ABANDONED_RECORD_MS,
+    );
+    return from + rank * CREATE_STAGGER_MS;
   };
 
   const review = (): void => {
@@ -784,12 +770,16 @@
   scheduleReview();
 
   return {
-    applyFirstList: stored => {
-      initialRevision = Math.max(0, ...stored.map(({revision}) => revision));
+    applyList: (stored, era) => {
+      if (initialRevision === Infinity) {
+        initialRevision = Math.max(0, ...stored.map(({revision}) => revision));
+      }
+      received.applyList(stored, era);
     },
-    applyRecord: stored => setStored(stored.ownership.group, stored),
+    applyRecord: received.apply,
     handleAsk: (host, msg) => {
       const {group, generation, ask} = msg;
+      received.noteRevision(msg.revision);
       const state = getState(group);
       const known = state.stored?.ownership ?? null;
       const isCurrent = known === null || generation >= known.generation;
@@ -820,7 +810,9 @@
     },
     handleConsentAsk: (host, {group, revision}) => {
       const state = getState(group);
-      const isKnown = state.stored?.revision === revision;
+      // Nobody may claim a copy, and its owner still needs promises for it.
+      const isKnown =
+        state.stored?.revision === revision && !isCopy(state.stored);
       const isPromiseOver = runtime.now() >= state.promisedUntil;
       if (!isKnown || !isPromiseOver || state.lease !== null) {
         return;
@@ -893,7 +885,12 @@
       }
       let result = await writeRelease(stored, next, lineage);
       const current = getState(group).stored!;
-      if (result.type === 'conflict' && isOwnRecord(current.ownership)) {
+      const isSameEra = readEra(current.revision) === readEra(stored.revision);
+      if (
+        result.type === 'conflict' &&
+        isSameEra &&
+        isOwnRecord(current.ownership)
+      ) {
         // A renewal without an answer had been executed.
         result = await writeRelease(current, next, lineage);
       }
