--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -101,6 +101,7 @@
     deputies: listOf(isAddress),
     renewals: isNumber,
     lineage: optional(orNull(isLineage)),
+    era: optional(isNumber),
   }),
 });
 
