--- /dev/null
+++ b/packages/pooler/src/decisions/concurrency_curve.ts
@@ -0,0 +1,113 @@
+/**
+ * The service time of an endpoint by the number of statements that it runs
+ * concurrently. The load that it addresses: an endpoint that completes fewer
+ * statements per second the more of them it runs at once.
+ */
+
+import type {Instant} from '@lacewingroad/runtime';
+
+/** The times measured with one number of concurrent statements. */
+interface Point {
+  readonly mean: number;
+  readonly variance: number;
+  readonly samples: number;
+  readonly at: Instant;
+  /** The mean when the point was first trusted; detects changes of speed. */
+  readonly trusted: number | null;
+}
+
+/** Points by the number of concurrent statements. */
+export type ConcurrencyCurve = ReadonlyMap<number, Point>;
+
+/** Statements over which a point is averaged. */
+const POINT_SAMPLES = 20;
+/** Statements from which a point is trusted. */
+const MIN_SAMPLES = 10;
+/**
+ * Standard errors by which throughput must have fallen before the limit is
+ * lowered: about one comparison in a hundred is wrong by chance.
+ */
+const MIN_ERRORS = 2.5;
+/** Age from which a point is measured anew, one more at a time, in ms. */
+const RETRY_MS = 5_000;
+/**
+ * Change of the time at one point from which the whole endpoint has become
+ * slower or faster, so that points measured before it can't be compared.
+ */
+const CHANGE_RATIO = 2;
+
+/** Creates a curve without measurements. */
+export function createCurve(): ConcurrencyCurve {
+  return new Map();
+}
+
+/** Returns the curve after a statement ran as one of `concurrent`. */
+export function updateCurve(
+  curve: ConcurrencyCurve,
+  concurrent: number,
+  took: number,
+  at: Instant,
+): ConcurrencyCurve {
+  const known = curve.get(concurrent);
+  const isFresh = known !== undefined && at - known.at < RETRY_MS;
+  const before = isFresh
+    ? known
+    : {mean: took, variance: 0, samples: 0, trusted: null};
+  const samples = before.samples + 1;
+  const weight = 1 / Math.min(samples, POINT_SAMPLES);
+  const mean = before.mean + weight * (took - before.mean);
+  const variance =
+    (1 - weight) * (before.variance + weight * (took - before.mean) ** 2);
+  const trusted =
+    before.trusted ?? (samples >= MIN_SAMPLES ? mean : before.trusted);
+  const ratio = trusted === null ? 1 : mean / trusted;
+  if (ratio > CHANGE_RATIO || ratio < 1 / CHANGE_RATIO) {
+    return new Map([
+      [concurrent, {mean, variance, samples: MIN_SAMPLES, at, trusted: mean}],
+    ]);
+  }
+  return new Map(curve).set(concurrent, {mean, variance, samples, at, trusted});
+}
+
+/** Returns the relative standard error of a point's mean. */
+function computeError({mean, variance, samples}: Point): number {
+  const count = Math.min(samples, POINT_SAMPLES);
+  return Math.sqrt(variance / count) / mean;
+}
+
+/**
+ * Returns whether `higher` statements at once were measured to complete fewer
+ * per second than `lower`, beyond what chance explains.
+ */
+function isWorse(lower: number, a: Point, higher: number, b: Point): boolean {
+  const gain = Math.log((higher * a.mean) / (lower * b.mean));
+  const error = Math.hypot(computeError(a), computeError(b));
+  return gain < -MIN_ERRORS * error;
+}
+
+/**
+ * Returns how many statements an endpoint runs well at once, from 1 to `slots`.
+ * Numbers that were not measured count as good, and those measured as bad are
+ * tried again after a time: first the lowest of them.
+ */
+export function computeLimit(
+  curve: ConcurrencyCurve,
+  slots: number,
+  now: Instant,
+): number {
+  const points = [...curve]
+    .filter(([, {samples}]) => samples >= MIN_SAMPLES)
+    .sort(([a], [b]) => a - b);
+  let limit = slots;
+  let badAt = -Infinity;
+  for (const [lower, a] of points) {
+    for (const [higher, b] of points) {
+      if (lower < higher && lower < limit && isWorse(lower, a, higher, b)) {
+        limit = lower;
+        badAt = Math.max(badAt, b.at);
+      }
+    }
+  }
+  const retried = Math.floor(Math.max(0, now - badAt) / RETRY_MS);
+  return Math.max(1, Math.min(slots, limit + retried));
+}
