Place reads by the expected completion time

Placement compared only the share of slots in use, so an endpoint at a fifth of the speed got as many reads as the others until it was full.

A read now goes to the endpoint with the least expected completion time: delay of the network, plus service time of its kind, times the endpoint's speed factor and load. It waits for a quicker endpoint while that is sooner. Equal speed and delay give the order of before.

--- a/packages/pooler/src/__tests__/unit/decisions.test.ts
+++ b/packages/pooler/src/__tests__/unit/decisions.test.ts
@@ -181,6 +181,9 @@
   lagMs: 50,
   faultShare: 0,
   backoffUntil: 0,
+  factor: 1,
+  delayMs: null,
+  isNear: false,
 };
 
 describe('placement', () => {
@@ -213,6 +216,38 @@
     expect(chooseForRead(views, {...need, avoided: ['c']}, 1_000)).toBeNull();
   });
 
+  const work = {serviceMs: 12, waiting: 1, waitedMs: 0};
+
+  // Guards against reads at an endpoint that takes several times as long.
+  it('prefers a quicker endpoint though it is busier', () => {
+    const views = [
+      view({id: 'slow', factor: 5}),
+      view({id: 'busy', running: 2}),
+    ];
+    expect(chooseForRead(views, need, 1_000, work)).toBe('busy');
+  });
+
+  // Guards against an endpoint that stays unused while a backlog grows.
+  it('waits for a quicker endpoint while that is sooner', () => {
+    const views = [view({id: 'slow', factor: 5}), view({id: 'a', running: 3})];
+    expect(chooseForRead(views, need, 1_000, work)).toBeNull();
+    const backlog = {...work, waiting: 20};
+    expect(chooseForRead(views, need, 1_000, backlog)).toBe('slow');
+    const held = {...work, waitedMs: 60};
+    expect(chooseForRead(views, need, 1_000, held)).toBe('slow');
+    const unusable = [views[0]!, {...views[1]!, isUsable: false}];
+    expect(chooseForRead(unusable, need, 1_000, work)).toBe('slow');
+  });
+
+  // Guards against bytes between data centres without a gain in time.
+  it('stays in the data centre of the owner while that is no slower', () => {
+    const far = view({id: 'far', delayMs: 3});
+    const near = view({id: 'near', delayMs: 0.3, isNear: true});
+    expect(chooseForRead([far, near], need, 1_000, work)).toBe('near');
+    const slowNear = {...near, factor: 2};
+    expect(chooseForRead([far, slowNear], need, 1_000, work)).toBe('far');
+  });
+
   it('expects a replica to have a commit after its lag', () => {
     const behind = view({applied: at(5), lagMs: 50});
     const recentCommit = {...need, requiredSince: 980};
@@ -357,6 +392,7 @@
     isLeaving: false,
     isFailing: false,
     isNear: false,
+    factor: 1,
     ...parts,
   });
   const need = {acked: at(10), surelyAcked: null, reportsNeeded: 2};
@@ -375,6 +411,17 @@
     expect(chooseCandidate(reports, {...need, reportsNeeded: 3})).toBeNull();
   });
 
+  // Guards against a slow primary, to whose speed all writes are then bound.
+  it('is the faster one of equal logs, then the nearer one', () => {
+    const slow = candidate('slow', 10, {factor: 5, isNear: true});
+    const fast = candidate('fast', 10, {factor: 1});
+    const near = candidate('near', 10, {factor: 1.3, isNear: true});
+    const ahead = candidate('ahead', 11, {factor: 5});
+    expect(chooseCandidate([slow, fast], need)?.id).toBe('fast');
+    expect(chooseCandidate([slow, fast, near], need)?.id).toBe('near');
+    expect(chooseCandidate([fast, near, ahead], need)?.id).toBe('ahead');
+  });
+
   it('is requested again, though the reports of others count', () => {
     const reports = [candidate('a', 9), candidate('b', 9)];
     const unknown = {...need, acked: null};
--- a/packages/pooler/src/__tests__/unit/service_times.test.ts
+++ b/packages/pooler/src/__tests__/unit/service_times.test.ts
@@ -53,7 +53,7 @@
           tookMs: KIND_MS[kind]! * spread * speeds[endpoint]!(running, at),
           running,
           slots: SLOTS,
-          awaitsReplicas: false,
+          showsSpeed: true,
           at,
         });
       }
--- a/packages/pooler/src/decisions/candidate.ts
+++ b/packages/pooler/src/decisions/candidate.ts
@@ -14,6 +14,8 @@
   /** Whether its recent failure rate is too high. */
   readonly isFailing: boolean;
   readonly isNear: boolean;
+  /** Time that a statement takes there relative to the normal time. */
+  readonly factor: number;
 }
 
 /** What a candidate is checked against when a primary has to be replaced. */
@@ -29,6 +31,14 @@
   readonly reportsNeeded: number;
 }
 
+/**
+ * Returns the class of a speed factor; the factors of a class differ by less
+ * than two, which is too little to prefer one to the nearer endpoint.
+ */
+function classifySpeed({factor}: Candidate): number {
+  return Math.round(Math.log2(factor));
+}
+
 function isBetter(a: Candidate, b: Candidate): boolean {
   if (a.isLeaving !== b.isLeaving) {
     return !a.isLeaving;
@@ -38,7 +48,11 @@
   }
   const isAhead = isAtLeast(a.received, b.received);
   const isEqual = isAhead && isAtLeast(b.received, a.received);
-  return isEqual ? a.isNear && !b.isNear : isAhead;
+  if (!isEqual) {
+    return isAhead;
+  }
+  const speedOrder = classifySpeed(a) - classifySpeed(b);
+  return speedOrder === 0 ? a.isNear && !b.isNear : speedOrder < 0;
 }
 
 function findMostAdvanced(reports: readonly Candidate[]): LogPosition | null {
--- a/packages/pooler/src/decisions/placement.ts
+++ b/packages/pooler/src/decisions/placement.ts
@@ -24,6 +24,22 @@
   readonly faultShare: number;
   /** It gets no statement before this instant. */
   readonly backoffUntil: Instant;
+  /** Time that a statement takes there relative to the normal time. */
+  readonly factor: number;
+  /** Delay of the network to it and back, in ms; null if not measured. */
+  readonly delayMs: number | null;
+  /** Whether it is in the data centre of the owner. */
+  readonly isNear: boolean;
+}
+
+/** What is known about the work of a read, and about the queue it waits in. */
+export interface Work {
+  /** Expected service time at an endpoint of normal speed, in ms. */
+  readonly serviceMs: number;
+  /** Reads that wait for a slot, including this one. */
+  readonly waiting: number;
+  /** How long this one has waited, in ms. */
+  readonly waitedMs: number;
 }
 
 /** What a read requires of its endpoint. */
@@ -52,14 +68,25 @@
  */
 const PRIMARY_EXTRA_LOAD = 0.34;
 
-/** Returns whether an endpoint can run another statement now. */
-function canAcceptStatement(view: EndpointView, now: Instant): boolean {
-  return (
-    view.isUsable &&
-    view.hasConnection &&
-    view.running < view.limit &&
-    now >= view.backoffUntil
-  );
+/**
+ * Delays that differ by less than this are treated as equal, in ms: probes are
+ * not measured more precisely.
+ */
+const MIN_DELAY_MS = 0.5;
+/**
+ * Factor from which a read may wait for a slot of a quicker endpoint. Below it,
+ * waiting gains too little for an estimate.
+ */
+const MIN_SLOW_FACTOR = 2;
+
+/** Returns whether an endpoint takes statements as soon as a slot is free. */
+function isOpen(view: EndpointView, now: Instant): boolean {
+  return view.isUsable && now >= view.backoffUntil;
+}
+
+/** Returns whether an endpoint has a free slot and a free connection. */
+function hasRoom(view: EndpointView): boolean {
+  return view.hasConnection && view.running < view.limit;
 }
 
 /**
@@ -88,28 +115,83 @@
   return used + extra + view.faultShare * FAULT_LOAD_FACTOR;
 }
 
+/** Returns by how much the delay exceeds that of the nearest endpoint, in ms. */
+function computeExtraDelay(
+  view: EndpointView,
+  views: readonly EndpointView[],
+): number {
+  const delays = views.flatMap(({delayMs}) => delayMs ?? []);
+  const extra = (view.delayMs ?? 0) - Math.min(...delays);
+  return view.isNear || !(extra >= MIN_DELAY_MS) ? 0 : extra;
+}
+
 /**
- * Chooses the endpoint for a read: the least loaded one that is expected to
- * have the required position and is not among those to avoid. Returns null if
- * the read has to wait.
+ * Returns when a statement that is sent now is expected to be done, in ms. The
+ * load counts as work that shares the endpoint: with equal speed and distance,
+ * the least loaded endpoint comes first.
+ */
+function computeCompletionMs(
+  view: EndpointView,
+  views: readonly EndpointView[],
+  {serviceMs}: Work,
+): number {
+  const extraMs = computeExtraDelay(view, views);
+  return extraMs + serviceMs * view.factor * (1 + computeLoad(view));
+}
+
+/**
+ * Returns whether a read should wait for a slot of a quicker endpoint rather
+ * than run on `best`. It waits no longer than it can gain.
+ */
+function shouldWait(
+  best: EndpointView,
+  full: readonly EndpointView[],
+  views: readonly EndpointView[],
+  work: Work,
+): boolean {
+  if (best.factor < MIN_SLOW_FACTOR) {
+    return false;
+  }
+  const waitMs = full.map(view => {
+    const turnMs = (work.serviceMs * view.factor) / view.limit;
+    return computeCompletionMs(view, views, work) + turnMs * work.waiting;
+  });
+  const gainMs = computeCompletionMs(best, views, work) - Math.min(...waitMs);
+  return work.waitedMs < gainMs;
+}
+
+/** The work of a read about which nothing is known. */
+const UNKNOWN_WORK: Work = {serviceMs: 1, waiting: 0, waitedMs: Infinity};
+
+/**
+ * Chooses the endpoint for a read: the one that is expected to complete it first
+ * of those that are expected to have the required position and are not to be
+ * avoided. Returns null if the read has to wait.
  */
 export function chooseForRead(
   views: readonly EndpointView[],
   requirements: ReadRequirements,
   now: Instant,
+  work: Work = UNKNOWN_WORK,
 ): EndpointId | null {
-  let best: EndpointView | null = null;
-  for (const view of views) {
-    const isEligible =
-      canAcceptStatement(view, now) &&
+  const eligible = views.filter(
+    view =>
+      isOpen(view, now) &&
       isExpectedToSatisfy(view, requirements, now) &&
-      !requirements.avoided.includes(view.id);
-    if (
-      isEligible &&
-      (best === null || computeLoad(view) < computeLoad(best))
-    ) {
+      !requirements.avoided.includes(view.id),
+  );
+  let best: EndpointView | null = null;
+  let bestMs = Infinity;
+  for (const view of eligible.filter(hasRoom)) {
+    const ms = computeCompletionMs(view, views, work);
+    if (ms < bestMs) {
       best = view;
+      bestMs = ms;
     }
   }
-  return best?.id ?? null;
+  if (best === null) {
+    return null;
+  }
+  const full = eligible.filter(view => !hasRoom(view));
+  return shouldWait(best, full, views, work) ? null : best.id;
 }
--- a/packages/pooler/src/decisions/service_times.ts
+++ b/packages/pooler/src/decisions/service_times.ts
@@ -36,8 +36,11 @@
   readonly running: number;
   /** The number of statements that the endpoint states to run concurrently. */
   readonly slots: number;
-  /** Its time depends on other endpoints too, and shows no speed. */
-  readonly awaitsReplicas: boolean;
+  /**
+   * Whether its time depends on this endpoint alone: a commit waits for
+   * replicas.
+   */
+  readonly showsSpeed: boolean;
   readonly at: Instant;
 }
 
@@ -209,7 +212,7 @@
     latestAt = Math.max(latestAt, at);
     const curve = before?.curve ?? createCurve();
     const showsSpeed =
-      !sample.awaitsReplicas &&
+      sample.showsSpeed &&
       known !== undefined &&
       known.samples >= MIN_KIND_SAMPLES;
     if (!showsSpeed) {
--- a/packages/pooler/src/model/directory.ts
+++ b/packages/pooler/src/model/directory.ts
@@ -130,6 +130,8 @@
   readonly role: 'primary' | 'replica' | null;
   /** Distinguishes this run of the endpoint from earlier ones. */
   readonly startedAt: number;
+  /** How much longer it was slow after its start when it reported, in ms. */
+  readonly coldLeftMs?: number;
 }
 
 /** All endpoints, and when the list was last known to be complete. */
--- a/packages/pooler/src/model/ownership.ts
+++ b/packages/pooler/src/model/ownership.ts
@@ -17,7 +17,7 @@
 /** The registration of a host. */
 export interface HostEntry extends HostAddress {
   readonly dataCentre: DataCentreId;
-  /** Share of a processor core that the host may use. */
+  /** Processor capacity that the host may use, in cores. */
   readonly cpuShare: number;
 }
 
--- a/packages/pooler/src/owner/jobs.ts
+++ b/packages/pooler/src/owner/jobs.ts
@@ -11,12 +11,9 @@
   EndpointReply,
 } from '../model/statement.js';
 import {recordAckedCommit} from './acks.js';
+import {recordReply} from './capacity.js';
 import {dropConn} from './connections.js';
-import {
-  BUSY_BACKOFF_MS,
-  MAX_READ_ATTEMPTS,
-  SERVICE_SMOOTHING_FACTOR,
-} from './limits.js';
+import {BUSY_BACKOFF_MS, MAX_READ_ATTEMPTS} from './limits.js';
 import {prepareConn} from './prepare.js';
 import {markUp, recordOutcome} from './state.js';
 import type {Conn, Job, Pool, Tx} from './state.js';
@@ -467,7 +464,7 @@
     releaseConn(pool, conn);
     return;
   }
-  recordServiceTime(pool, conn, job, reply);
+  recordReply(pool, conn, job, reply);
   if (job.awaitsReplicas) {
     const {unanswered} = pool.read();
     const isConfirmed = reply.type === 'done';
@@ -491,25 +488,6 @@
   'other',
 ]);
 
-/** Updates an endpoint's service time and applied position after a reply. */
-function recordServiceTime(
-  pool: Pool,
-  conn: Conn,
-  job: Job,
-  reply: EndpointReply,
-): void {
-  const state = pool.endpoints.get(conn.endpoint);
-  if (state === undefined || job.sentAt === null) {
-    return;
-  }
-  const tookMs = pool.now() - job.sentAt;
-  pool.endpoints.update(conn.endpoint, {
-    serviceMs:
-      state.serviceMs + SERVICE_SMOOTHING_FACTOR * (tookMs - state.serviceMs),
-    applied: reply.position ?? state.applied,
-  });
-}
-
 function handleDone(pool: Pool, job: Job, conn: Conn, reply: DoneReply): void {
   const {msg} = job;
   const {rows, signature, position} = reply;
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -251,6 +251,7 @@
       isLeaving: entry.isLeaving,
       isFailing: isFailing(faults, now),
       isNear: entry.dataCentre === pool.cfg.dataCentre,
+      factor: pool.capacity.times.readFactor(entry.id, now),
     }));
 }
 
@@ -326,6 +327,7 @@
     isLeaving: entry.isLeaving,
     isFailing: isFailing(faults, pool.now()),
     isNear: false,
+    factor: 1,
   });
 }
 
--- a/packages/pooler/src/owner/scheduler.ts
+++ b/packages/pooler/src/owner/scheduler.ts
@@ -9,7 +9,11 @@
 import {endJob, runJob} from './jobs.js';
 import {refused} from '../model/result.js';
 import type {Conn, Job, Pool} from './state.js';
-import {estimateMinUsefulMs, createEndpointViews} from './views.js';
+import {
+  createEndpointViews,
+  describeWork,
+  estimateMinUsefulMs,
+} from './views.js';
 import type {PoolView} from './views.js';
 
 interface Placement {
@@ -72,7 +76,8 @@
   const need = findReadRequirements(pool, job);
   const open =
     job.msg.tx === null ? views : views.filter(view => canPinConn(pool, view));
-  const endpoint = chooseForRead(open, need, pool.now());
+  const work = describeWork(pool, job);
+  const endpoint = chooseForRead(open, need, pool.now(), work);
   const conn =
     endpoint === null ? null : findFreeConn(pool, endpoint, job.msg.session);
   return conn === null ? null : {conn, required: need.required};
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -28,6 +28,8 @@
 import {createRecords} from '../records.js';
 import type {EndpointRun, GroupLineage} from '../model/ownership.js';
 import type {Records} from '../records.js';
+import {createCapacity} from './capacity.js';
+import type {Capacity} from './capacity.js';
 import {INITIAL_SERVICE_MS} from './limits.js';
 
 /** A statement that waits or runs in a pool. */
@@ -228,6 +230,7 @@
   readonly conns: Records<number, Conn>;
   readonly jobs: Records<string, Job>;
   readonly txs: Records<string, Tx>;
+  readonly capacity: Capacity;
   readonly read: () => PoolState;
   readonly update: (part: Partial<PoolState>) => void;
   readonly now: () => Instant;
@@ -255,18 +258,21 @@
     openedAt: cfg.ports.runtime.now(),
     adoptedAt: cfg.ports.runtime.now(),
   };
+  const {now} = cfg.ports.runtime;
+  const endpoints = createRecords<EndpointId, EndpointState>();
   return {
     cfg,
-    endpoints: createRecords(),
+    endpoints,
     members: createRecords(),
     conns: createRecords(),
     jobs: createRecords(),
     txs: createRecords(),
+    capacity: createCapacity(id => endpoints.get(id)?.entry, now),
     read: () => state,
     update: part => {
       state = {...state, ...part};
     },
-    now: cfg.ports.runtime.now,
+    now,
     nextId: () => ++lastId,
     wake,
   };
--- a/packages/pooler/src/owner/status.ts
+++ b/packages/pooler/src/owner/status.ts
@@ -11,6 +11,7 @@
 import type {EndpointConn} from '../ports.js';
 import {createRecords} from '../records.js';
 import {learnBase} from './acks.js';
+import {recordProbe} from './capacity.js';
 import type {Records} from '../records.js';
 import {createConnLostHandler, closeTx} from './jobs.js';
 import {closeCallsOf} from './promotion_calls.js';
@@ -273,6 +274,7 @@
       : ({type: 'status'} as const);
     prober.link!.send(command, null, null, reply => {
       probers.update(id, {requestedAt: null});
+      recordProbe(pool, id, pool.now() - requestedAt);
       markUp(pool, id);
       if (reply.type === 'error' && reply.fault === 'busy') {
         reserveSlotForProbe(pool, id, probers);
--- a/packages/pooler/src/owner/views.ts
+++ b/packages/pooler/src/owner/views.ts
@@ -1,10 +1,12 @@
 /** Builds the endpoint states that placement uses. */
 
 import {computeFaultShare} from '../decisions/fault_level.js';
-import type {EndpointView} from '../decisions/placement.js';
-import {countAllConns, getSlotLimit} from './connections.js';
+import {isReadOnly} from '../decisions/effects.js';
+import type {EndpointView, Work} from '../decisions/placement.js';
+import {getRunLimit, getWorkKindOf} from './capacity.js';
+import {countAllConns} from './connections.js';
 import {hasOpenCalls} from './promotion_calls.js';
-import type {Pool} from './state.js';
+import type {Job, Pool} from './state.js';
 
 /** The state of an endpoint for placement, with its pinned connections. */
 export interface PoolView extends EndpointView {
@@ -44,7 +46,10 @@
       isPrimary: isKnownPrimary && isPrimaryServing,
       isUsable: !entry.isLeaving && state.downSince === null && isServing,
       running: used?.running ?? 0,
-      limit: getSlotLimit(state),
+      limit: getRunLimit(pool, state),
+      factor: pool.capacity.times.readFactor(entry.id, pool.now()),
+      delayMs: pool.capacity.delays.get(entry.id) ?? null,
+      isNear: entry.dataCentre === pool.cfg.dataCentre,
       hasConnection: (used?.free ?? 0) > 0,
       applied: state.applied,
       lagMs: state.lagMs,
@@ -54,3 +59,15 @@
     };
   });
 }
+
+/** Returns what placement has to know about the work of a read. */
+export function describeWork(pool: Pool, job: Job): Work {
+  const waiting = pool.jobs
+    .list()
+    .filter(({phase, msg}) => phase === 'waiting' && isReadOnly(msg));
+  return {
+    serviceMs: pool.capacity.times.expectMs(getWorkKindOf(job.msg)),
+    waiting: waiting.length,
+    waitedMs: pool.now() - job.receivedAt,
+  };
+}
