--- a/packages/pooler/src/owner/scheduler.ts
+++ b/packages/pooler/src/owner/scheduler.ts
@@ -11,6 +11,7 @@
 import type {Conn, Job, Pool} from './state.js';
 import {
   createEndpointViews,
+  describeWork,
   estimateMinUsefulMs,
   viewForWorkspace,
 } from './views.js';
@@ -87,7 +88,8 @@
   const own = viewForWorkspace(views, job.msg.workspace);
   const open =
     job.msg.tx === null ? own : own.filter(view => canPinConn(pool, view));
-  const endpoint = chooseForRead(open, need, pool.now());
+  const work = describeWork(pool, job);
+  const endpoint = chooseForRead(open, need, pool.now(), work);
   const conn =
     endpoint === null
       ? null
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -31,6 +31,8 @@
 import type {EndpointRun, GroupLineage} from '../model/ownership.js';
 import type {Records} from '../records.js';
 import type {AllowanceGate} from './allowance_gate.js';
+import {createCapacity} from './capacity.js';
+import type {Capacity} from './capacity.js';
 import {INITIAL_SERVICE_MS} from './limits.js';
 
 /** A statement that waits or runs in a pool. */
@@ -239,6 +241,7 @@
   readonly conns: Records<number, Conn>;
   readonly jobs: Records<string, Job>;
   readonly txs: Records<string, Tx>;
+  readonly capacity: Capacity;
   readonly read: () => PoolState;
   readonly update: (part: Partial<PoolState>) => void;
   readonly now: () => Instant;
@@ -266,18 +269,21 @@
     openedAt: cfg.ports.runtime.now(),
     adoptedAt: cfg.ports.runtime.now(),
   };
+  const {now} = cfg.ports.runtime;
+  const endpoints = createRecords<EndpointId, EndpointState>();
   return {
     cfg,
-    endpoints: createRecords(),
+    endpoints,
     members: createRecords(),
     conns: createRecords(),
     jobs: createRecords(request => cfg.allowances?.end(request)),
     txs: createRecords(),
+    capacity: createCapacity(id => endpoints.get(id)?.entry, now),
     read: () => state,
     update: part => {
       state = {...state, ...part};
     },
-    now: cfg.ports.runtime.now,
+    now,
     nextId: () => ++lastId,
     wake,
   };
