Order and refuse statements by shares and expected waits

Under overload, a pool held statements that more urgent work overtook until their deadline and then refused them, admitted by one mean service time for kinds that differ by a factor of five, and let one surging workspace delay the others of its rank. It also sorted the whole queue at each wake.

Within a rank, a workspace over its share of slot time now gets later turns. Admission compares the expected slot time ahead, by the endpoints that can run it, with the slots that more urgent arrivals leave; a review at each tick refuses what has become hopeless, and nothing after half of its time. Refusals say when to return. Turns come from one heap a rank and resource, built in linear time. A full queue of less urgent work does not refuse urgent work.

--- a/packages/pooler/src/__tests__/unit/decisions.test.ts
+++ b/packages/pooler/src/__tests__/unit/decisions.test.ts
@@ -16,7 +16,6 @@
   updateFaultRate,
 } from '../../decisions/fault_level.js';
 import type {FaultRate} from '../../decisions/fault_level.js';
-import {canStartInTime, estimateWaitMs} from '../../decisions/admission.js';
 import {chooseCandidate} from '../../decisions/candidate.js';
 import type {Candidate} from '../../decisions/candidate.js';
 import {
@@ -229,10 +228,15 @@
   const job = (order: number, parts: Partial<WaitingJob> = {}): WaitingJob => ({
     order,
     priority: 1,
+    workspace: null,
     isInTx: false,
+    receivedAt: 0,
     targetAt: 1_000,
+    deadline: 10_000,
+    expectedMs: 0,
     ...parts,
   });
+  const isOverShare = (): boolean => false;
 
   it('puts urgent ranks first, then open transactions, then targets', () => {
     const jobs = [
@@ -242,14 +246,14 @@
       job(4, {priority: 0}),
       job(5, {targetAt: 800}),
     ];
-    expect(orderJobs(jobs, new Map(), 0).map(({order}) => order)).toEqual([
-      4, 3, 5, 2, 1,
-    ]);
+    expect(
+      orderJobs(jobs, new Map(), 0, isOverShare).map(({order}) => order),
+    ).toEqual([4, 3, 5, 2, 1]);
   });
 
   it('puts late statements behind those that can meet their target', () => {
     const jobs = [job(1, {targetAt: 100}), job(2, {targetAt: 900})];
-    expect(orderJobs(jobs, new Map(), 500)[0]?.order).toBe(2);
+    expect(orderJobs(jobs, new Map(), 500, isOverShare)[0]?.order).toBe(2);
   });
 
   it('gives the lowest rank about a tenth of the slots under overload', () => {
@@ -257,7 +261,7 @@
     const jobs = [job(1, {priority: 0}), job(2, {priority: 2})];
     let low = 0;
     for (let slot = 0; slot < 110; slot++) {
-      const [next] = orderJobs(jobs, skipCounts, 0);
+      const [next] = orderJobs(jobs, skipCounts, 0, isOverShare);
       low += next!.priority === 2 ? 1 : 0;
       skipCounts = updateSkipCounts(skipCounts, next!.priority, [0, 2]);
     }
@@ -265,19 +269,6 @@
   });
 });
 
-describe('admission under overload', () => {
-  it('refuses a statement that would wait past its deadline', () => {
-    const load = {ahead: 300, slots: 9, serviceMs: 30};
-    expect(estimateWaitMs(load)).toBe(1_000);
-    expect(canStartInTime(load, 800)).toBe(false);
-    expect(canStartInTime(load, 2_000)).toBe(true);
-  });
-
-  it('admits statements while no endpoint is known to be usable', () => {
-    expect(canStartInTime({ahead: 9, slots: 0, serviceMs: 30}, 1)).toBe(true);
-  });
-});
-
 describe('a group whose owner is unreachable', () => {
   it('is waited for until a connection is usually restored', () => {
     expect(computeWaitDeadline(1_000, 1_050, 1_800)).toBe(1_000 + RECONNECT_MS);
--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -295,14 +295,15 @@
     ) => void;
   } = {
     done: finishDone,
-    refused: (req, {reason}) => {
+    refused: (req, {reason, retryAfterMs}) => {
       const caller = callers.get(req.caller);
       if (reason === 'key_revoked' && caller !== undefined) {
         refuseAccess(caller);
         return;
       }
       const fault = req.tx === null ? 'busy' : 'aborted';
-      finishWithFault(req, fault, describeFault(fault, reason, req.id));
+      const text = describeFault(fault, reason, req.id, retryAfterMs);
+      finishWithFault(req, fault, text);
     },
     failed: (req, {fault, text}) => finishWithFault(req, fault, text),
     unknown: (req, {reason}) =>
--- a/packages/pooler/src/entry/fault_texts.ts
+++ b/packages/pooler/src/entry/fault_texts.ts
@@ -18,11 +18,17 @@
     'it exceeded its time limit; check whether it took effect before you retry it',
 };
 
-/** Returns the text of an error with its reason and the id of the request. */
+/**
+ * Returns the text of an error with its reason, the id of the request, and
+ * after how many ms the caller should return, if that is known.
+ */
 export function describeFault(
   fault: CallerFault,
   reason: string,
   request: string,
+  retryAfterMs?: number,
 ): string {
-  return `${FAULT_TEXTS[fault] ?? fault} (${reason}, request ${request})`;
+  const wait =
+    retryAfterMs === undefined ? '' : `, retry after ${retryAfterMs} ms`;
+  return `${FAULT_TEXTS[fault] ?? fault} (${reason}, request ${request}${wait})`;
 }
--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -69,7 +69,7 @@
     signature: isString,
     position: orNull(isPosition),
   }),
-  refused: fields({reason: isString}),
+  refused: fields({reason: isString, retryAfterMs: optional(isNumber)}),
   failed: fields({fault: oneOf('failed', 'timed_out'), text: isString}),
   unknown: fields({reason: isString}),
 });
--- a/packages/pooler/src/model/result.ts
+++ b/packages/pooler/src/model/result.ts
@@ -7,6 +7,8 @@
   | 'not_owner'
   | 'too_late'
   | 'queue_full'
+  /** More urgent work that came later leaves it no slot in time. */
+  | 'overtaken'
   | 'no_endpoint'
   | 'no_replica'
   | 'tx_gone'
@@ -30,7 +32,12 @@
       readonly position: LogPosition | null;
     }
   /** Not run, or confirmed as rolled back. */
-  | {readonly type: 'refused'; readonly reason: RefusalReason}
+  | {
+      readonly type: 'refused';
+      readonly reason: RefusalReason;
+      /** After how many ms the caller should return; absent if unknown. */
+      readonly retryAfterMs?: number;
+    }
   /** Run, and ended by an error from the endpoint. */
   | {
       readonly type: 'failed';
@@ -40,8 +47,13 @@
   | {readonly type: 'unknown'; readonly reason: UnknownReason};
 
 /** Creates the result of a statement that was not run. */
-export function refused(reason: RefusalReason): RunResult {
-  return {type: 'refused', reason};
+export function refused(
+  reason: RefusalReason,
+  retryAfterMs: number | null = null,
+): RunResult {
+  return retryAfterMs === null
+    ? {type: 'refused', reason}
+    : {type: 'refused', reason, retryAfterMs};
 }
 
 /** Creates the result of a statement of unknown outcome. */
--- a/packages/pooler/src/owner/group_pool.ts
+++ b/packages/pooler/src/owner/group_pool.ts
@@ -3,7 +3,6 @@
 import type {HostId} from '@lacewingroad/core';
 import type {Unregister} from '@lacewingroad/runtime';
 import {isAccessRevoked} from '../decisions/access.js';
-import {canStartInTime} from '../decisions/admission.js';
 import {isCommitting, isWrite} from '../decisions/effects.js';
 import {areWritesStuck, mayTryWrite} from '../decisions/stuck_writes.js';
 import type {RunMessage} from '../model/message.js';
@@ -23,10 +22,16 @@
 import {
   BUSY_TICK_MS,
   IDLE_TICK_MS,
-  MAX_JOBS,
   MISSING_ENTRY_GRACE_MS,
   READ_REPLY_TIMEOUT_MS,
 } from './limits.js';
+import {
+  describeWork,
+  endRefused,
+  recordArrival,
+  refuseNew,
+  reviewQueue,
+} from './overload.js';
 import {addKnownMembers, readLineage, updateMembers} from './members.js';
 import {advancePromotion} from './promotion.js';
 import {
@@ -66,25 +71,6 @@
   readonly close: () => void;
 }
 
-/** Returns whether a new statement is expected to start before its deadline. */
-function canAdmit(pool: Pool, msg: RunMessage): boolean {
-  if (pool.jobs.count() >= MAX_JOBS) {
-    return false;
-  }
-  const usable = pool.endpoints
-    .list()
-    .filter(({entry, downSince}) => !entry.isLeaving && downSince === null);
-  const slots = usable.reduce((sum, {entry}) => sum + entry.slots, 0);
-  const serviceMs =
-    usable.reduce((sum, state) => sum + state.serviceMs, 0) /
-    Math.max(1, usable.length);
-  const ahead = pool.jobs
-    .list()
-    .filter(job => job.phase === 'waiting' && job.priority <= msg.priority);
-  const load = {ahead: ahead.length, slots, serviceMs};
-  return canStartInTime(load, msg.timeoutLeftMs);
-}
-
 function updateEndpoints(pool: Pool): void {
   const now = pool.now();
   const list = pool.cfg.readEndpoints();
@@ -236,6 +222,7 @@
     removeMissingEndpoints(pool);
     updateMembers(pool);
     checkJobTimeouts(pool);
+    reviewQueue(pool, endJob);
     closeIdleTxs(pool);
     maintainConns(pool, onLost);
     probes.tick();
@@ -271,15 +258,6 @@
     }
   };
 
-  const refuse = (job: Job): void => {
-    pool.jobs.put(job.msg.request, job);
-    endJob(
-      pool,
-      job,
-      refused(pool.read().isHandingOver ? 'not_owner' : 'queue_full'),
-    );
-  };
-
   return {
     run: (host, msg) => {
       // The host lost its connection to this one, and sends what may be run
@@ -296,6 +274,7 @@
         targetAt: now + msg.targetLeftMs,
         deadline: now + msg.timeoutLeftMs,
         priority: msg.priority,
+        ...describeWork(pool, msg),
         isInTx: msg.tx !== null && !msg.tx.isFirst,
         order: ++nextOrder,
         phase: 'waiting',
@@ -314,13 +293,18 @@
         return;
       }
       const isNew = msg.tx === null || msg.tx.isFirst;
-      const isRefused =
-        isNew && (pool.read().isHandingOver || !canAdmit(pool, msg));
-      if (isRefused) {
-        refuse(job);
+      if (isNew && pool.read().isHandingOver) {
+        pool.jobs.put(msg.request, job);
+        endJob(pool, job, refused('not_owner'));
         return;
       }
+      const refusal = isNew ? refuseNew(pool, job) : null;
       pool.jobs.put(msg.request, job);
+      if (refusal !== null) {
+        endRefused(pool, job, 'queue_full', refusal, endJob);
+        return;
+      }
+      recordArrival(pool, job);
       pool.wake();
     },
     closeTx: (host, id) => {
--- a/packages/pooler/src/owner/jobs.ts
+++ b/packages/pooler/src/owner/jobs.ts
@@ -12,12 +12,9 @@
 } from '../model/statement.js';
 import {recordAckedCommit} from './acks.js';
 import {dropConn} from './connections.js';
-import {
-  BUSY_BACKOFF_MS,
-  MAX_READ_ATTEMPTS,
-  SERVICE_SMOOTHING_FACTOR,
-} from './limits.js';
+import {BUSY_BACKOFF_MS, MAX_READ_ATTEMPTS} from './limits.js';
 import {prepareConn} from './prepare.js';
+import {recordServiceTime} from './service_samples.js';
 import {markUp, recordOutcome} from './state.js';
 import type {Conn, Job, Pool, Tx} from './state.js';
 
@@ -39,6 +36,7 @@
     tx: job.msg.tx?.id ?? null,
     outcome: result.type,
     reason: 'reason' in result ? result.reason : null,
+    rank: String(job.priority),
     attempts: job.attempts,
     took_ms: Math.round(pool.now() - job.receivedAt),
     left_ms: Math.round(job.deadline - pool.now()),
@@ -491,25 +489,6 @@
   'other',
 ]);
 
-/** Updates an endpoint's service time and applied position after a reply. */
-function recordServiceTime(
-  pool: Pool,
-  conn: Conn,
-  job: Job,
-  reply: EndpointReply,
-): void {
-  const state = pool.endpoints.get(conn.endpoint);
-  if (state === undefined || job.sentAt === null) {
-    return;
-  }
-  const tookMs = pool.now() - job.sentAt;
-  pool.endpoints.update(conn.endpoint, {
-    serviceMs:
-      state.serviceMs + SERVICE_SMOOTHING_FACTOR * (tookMs - state.serviceMs),
-    applied: reply.position ?? state.applied,
-  });
-}
-
 function handleDone(pool: Pool, job: Job, conn: Conn, reply: DoneReply): void {
   const {msg} = job;
   const {rows, signature, position} = reply;
--- a/packages/pooler/src/owner/scheduler.ts
+++ b/packages/pooler/src/owner/scheduler.ts
@@ -2,11 +2,12 @@
 
 import {isReadOnly, isWrite} from '../decisions/effects.js';
 import {chooseForRead} from '../decisions/placement.js';
-import {updateSkipCounts, orderJobs} from '../decisions/queue_order.js';
+import {createTurnQueue, updateSkipCounts} from '../decisions/queue_order.js';
 import {mayTryWrite} from '../decisions/stuck_writes.js';
 import {getAckedUpperBound, findReadRequirements} from './acks.js';
 import {findFreeConn, getConnLimit, getSlotLimit} from './connections.js';
 import {endJob, runJob} from './jobs.js';
+import {createShareCheck, recordStartOfUse} from './overload.js';
 import {refused} from '../model/result.js';
 import type {Conn, Job, Pool} from './state.js';
 import {estimateMinUsefulMs, createEndpointViews} from './views.js';
@@ -139,22 +140,31 @@
     return;
   }
   const minUsefulMs = estimateMinUsefulMs(pool);
-  const blocked = new Set<string>();
   const ranks = countRanks(waiting);
-  for (const job of orderJobs(waiting, pool.read().skipCounts, pool.now())) {
-    const key = getWaitKey(job);
-    const isLate = pool.now() + minUsefulMs >= job.deadline;
-    if (isLate || (key !== null && blocked.has(key))) {
+  const turns = createTurnQueue(
+    waiting,
+    pool.now(),
+    createShareCheck(pool),
+    getWaitKey,
+  );
+  for (;;) {
+    const job = turns.take(pool.read().skipCounts);
+    if (job === null) {
+      return;
+    }
+    if (pool.now() + minUsefulMs >= job.deadline) {
       continue;
     }
     const found = findPlacement(pool, job, views);
     if (found === null) {
+      const key = getWaitKey(job);
       if (key !== null) {
-        blocked.add(key);
+        turns.block(key);
       }
       continue;
     }
     runJob(pool, job, found.conn, found.required);
+    recordStartOfUse(pool, job);
     ranks.set(job.priority, ranks.get(job.priority)! - 1);
     const left = [...ranks].filter(([, count]) => count > 0);
     pool.update({
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -16,7 +16,8 @@
 import type {AckedCommit} from '../decisions/positions.js';
 import {NO_UNANSWERED_WRITES} from '../decisions/stuck_writes.js';
 import type {UnansweredWrites} from '../decisions/stuck_writes.js';
-import type {SkipCounts, WaitingJob} from '../decisions/queue_order.js';
+import type {QueuedJob} from '../decisions/admission.js';
+import type {SkipCounts} from '../decisions/queue_order.js';
 import type {
   EndpointEntry,
   EndpointList,
@@ -29,13 +30,13 @@
 import type {EndpointRun, GroupLineage} from '../model/ownership.js';
 import type {Records} from '../records.js';
 import {INITIAL_SERVICE_MS} from './limits.js';
+import {createOverloadState} from './overload_state.js';
+import type {OverloadState} from './overload_state.js';
 
 /** A statement that waits or runs in a pool. */
-export interface Job extends WaitingJob {
+export interface Job extends QueuedJob {
   readonly msg: RunMessage;
   readonly host: HostId;
-  readonly receivedAt: Instant;
-  readonly deadline: Instant;
   readonly phase: 'waiting' | 'running';
   readonly conn: number | null;
   readonly endpoint: EndpointId | null;
@@ -228,6 +229,7 @@
   readonly conns: Records<number, Conn>;
   readonly jobs: Records<string, Job>;
   readonly txs: Records<string, Tx>;
+  readonly overload: OverloadState;
   readonly read: () => PoolState;
   readonly update: (part: Partial<PoolState>) => void;
   readonly now: () => Instant;
@@ -239,6 +241,8 @@
 
 /** Creates the empty state of a pool. */
 export function createPool(cfg: PoolConfig, wake: () => void): Pool {
+  const {runtime} = cfg.ports;
+  const endpoints = createRecords<EndpointId, EndpointState>();
   let lastId = 0;
   let state: PoolState = {
     primary: null,
@@ -252,21 +256,22 @@
     unanswered: NO_UNANSWERED_WRITES,
     isHandingOver: false,
     isClosed: false,
-    openedAt: cfg.ports.runtime.now(),
-    adoptedAt: cfg.ports.runtime.now(),
+    openedAt: runtime.now(),
+    adoptedAt: runtime.now(),
   };
   return {
     cfg,
-    endpoints: createRecords(),
+    endpoints,
     members: createRecords(),
     conns: createRecords(),
     jobs: createRecords(),
     txs: createRecords(),
+    overload: createOverloadState(runtime.now(), () => endpoints.list()),
     read: () => state,
     update: part => {
       state = {...state, ...part};
     },
-    now: cfg.ports.runtime.now,
+    now: runtime.now,
     nextId: () => ++lastId,
     wake,
   };
