--- a/packages/pooler/src/model/result.ts
+++ b/packages/pooler/src/model/result.ts
@@ -7,6 +7,8 @@
   | 'not_owner'
   | 'too_late'
   | 'queue_full'
+  /** More urgent work that came later leaves it no slot in time. */
+  | 'overtaken'
   | 'no_endpoint'
   | 'no_replica'
   | 'tx_gone'
--- a/packages/pooler/src/owner/jobs.ts
+++ b/packages/pooler/src/owner/jobs.ts
@@ -15,6 +15,7 @@
 import {dropConn} from './connections.js';
 import {BUSY_BACKOFF_MS, MAX_READ_ATTEMPTS} from './limits.js';
 import {prepareConn} from './prepare.js';
+import {recordUse} from './overload.js';
 import {markUp, recordOutcome} from './state.js';
 import type {Conn, Job, Pool, Tx} from './state.js';
 
@@ -36,6 +37,7 @@
     tx: job.msg.tx?.id ?? null,
     outcome: result.type,
     reason: 'reason' in result ? result.reason : null,
+    rank: String(job.priority),
     attempts: job.attempts,
     took_ms: Math.round(pool.now() - job.receivedAt),
     left_ms: Math.round(job.deadline - pool.now()),
@@ -465,6 +467,7 @@
     return;
   }
   recordReply(pool, conn, job, reply);
+  recordUse(pool, job);
   if (job.awaitsReplicas) {
     const {unanswered} = pool.read();
     const isConfirmed = reply.type === 'done';
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -17,7 +17,8 @@
 import type {AckedCommit} from '../decisions/positions.js';
 import {NO_UNANSWERED_WRITES} from '../decisions/stuck_writes.js';
 import type {UnansweredWrites} from '../decisions/stuck_writes.js';
-import type {SkipCounts, WaitingJob} from '../decisions/queue_order.js';
+import type {QueuedJob} from '../decisions/admission.js';
+import type {SkipCounts} from '../decisions/queue_order.js';
 import type {
   EndpointEntry,
   EndpointList,
@@ -34,13 +35,13 @@
 import {createCapacity} from './capacity.js';
 import type {Capacity} from './capacity.js';
 import {INITIAL_SERVICE_MS} from './limits.js';
+import {createOverloadState} from './overload_state.js';
+import type {OverloadState} from './overload_state.js';
 
 /** A statement that waits or runs in a pool. */
-export interface Job extends WaitingJob {
+export interface Job extends QueuedJob {
   readonly msg: RunMessage;
   readonly host: HostId;
-  readonly receivedAt: Instant;
-  readonly deadline: Instant;
   readonly phase: 'waiting' | 'running';
   readonly conn: number | null;
   readonly endpoint: EndpointId | null;
@@ -242,6 +243,7 @@
   readonly jobs: Records<string, Job>;
   readonly txs: Records<string, Tx>;
   readonly capacity: Capacity;
+  readonly overload: OverloadState;
   readonly read: () => PoolState;
   readonly update: (part: Partial<PoolState>) => void;
   readonly now: () => Instant;
@@ -253,6 +255,8 @@
 
 /** Creates the empty state of a pool. */
 export function createPool(cfg: PoolConfig, wake: () => void): Pool {
+  const {runtime} = cfg.ports;
+  const endpoints = createRecords<EndpointId, EndpointState>();
   let lastId = 0;
   let state: PoolState = {
     primary: null,
@@ -266,11 +270,9 @@
     unanswered: NO_UNANSWERED_WRITES,
     isHandingOver: false,
     isClosed: false,
-    openedAt: cfg.ports.runtime.now(),
-    adoptedAt: cfg.ports.runtime.now(),
+    openedAt: runtime.now(),
+    adoptedAt: runtime.now(),
   };
-  const {now} = cfg.ports.runtime;
-  const endpoints = createRecords<EndpointId, EndpointState>();
   return {
     cfg,
     endpoints,
@@ -278,12 +280,13 @@
     conns: createRecords(),
     jobs: createRecords(request => cfg.allowances?.end(request)),
     txs: createRecords(),
-    capacity: createCapacity(id => endpoints.get(id)?.entry, now),
+    capacity: createCapacity(id => endpoints.get(id)?.entry, runtime.now),
+    overload: createOverloadState(runtime.now()),
     read: () => state,
     update: part => {
       state = {...state, ...part};
     },
-    now,
+    now: runtime.now,
     nextId: () => ++lastId,
     wake,
   };
