Answer step_down with the status row in the fake endpoints

Cause: the platform's page says that STEPDOWN returns the same row as STAT, and the fake group returned none.

Change: the fake answers step_down with its row. No check is changed.

--- a/packages/pooler/src/__tests__/fake_group.ts
+++ b/packages/pooler/src/__tests__/fake_group.ts
@@ -316,18 +316,15 @@
       if (command.type === 'status' && endpoint.needsSlotForStatus && isFull) {
         return error('busy');
       }
-      if (command.type === 'status') {
+      if (command.type === 'step_down' && endpoint.term < command.term) {
+        endpoint.role = 'replica';
+        followPrimary(endpoint);
+      }
+      if (command.type === 'status' || command.type === 'step_down') {
         const {role, term, received, lagMs} = endpoint;
         const position = `${getLogTerm(endpoint)}.${received}`;
         return done([`${role} ${term} ${position} 0 ${lagMs} 0 0`]);
       }
-      if (command.type === 'step_down') {
-        if (endpoint.term < command.term) {
-          endpoint.role = 'replica';
-          followPrimary(endpoint);
-        }
-        return done([]);
-      }
       if (command.type === 'rollback') {
         state = 'idle';
         hasWritten = false;
