Log and measure the estimated capacity of endpoints

An operator could not see why reads avoid an endpoint. One line endpoint_capacity per change (at most one a second per endpoint) tells factor, limit and delay, and two gauges keep the last ones. The remaining cold time is counted from a report, not from each list that repeats it.

--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -23,6 +23,8 @@
 let events: string[];
 /** Fields of the events that say why a promotion waits. */
 let waits: Record<string, unknown>[];
+/** Fields of the events that tell a changed capacity of an endpoint. */
+let capacities: Record<string, unknown>[];
 /** Endpoints that are missing from the endpoint list. */
 let unlisted: Set<string>;
 let isListCurrent: boolean;
@@ -59,6 +61,9 @@
           if (event === 'promotion_waits') {
             waits.push(fields);
           }
+          if (event === 'endpoint_capacity') {
+            capacities.push(fields);
+          }
         },
         openConn: group.openConn,
         promote: call => promote(call),
@@ -140,6 +145,7 @@
   isLeaseValid = true;
   events = [];
   waits = [];
+  capacities = [];
   unlisted = new Set();
   isListCurrent = true;
   lineage = null;
@@ -1224,3 +1230,67 @@
     expect(call!.signal.aborted).toBe(true);
   });
 });
+
+describe('the capacity of endpoints', () => {
+  /** Sends reads at a steady rate; returns how many each endpoint ran. */
+  async function sendReads(
+    seconds: number,
+  ): Promise<Readonly<Record<string, number>>> {
+    const before = group.ran.length;
+    for (let sent = 0; sent < seconds * 100; sent++) {
+      send();
+      await advanceTime(10);
+    }
+    const counts: Record<string, number> = {};
+    for (const {endpoint} of group.ran.slice(before)) {
+      counts[endpoint] = (counts[endpoint] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  // Guards against reads that are spread evenly over uneven endpoints, and
+  // against a log line for each reply.
+  it('takes reads away from a slow endpoint, and gives them back', async () => {
+    group.endpoints.forEach(endpoint => (endpoint.executionMs = 10));
+    const even = await sendReads(3);
+    group.get('ledger-3').executionMs = 50;
+    await sendReads(1);
+    const slow = await sendReads(3);
+    expect(slow['ledger-3'] ?? 0).toBeLessThan(even['ledger-3']! / 4);
+    expect(capacities).toContainEqual(
+      expect.objectContaining({endpoint: 'ledger-3', slots: 2}),
+    );
+    expect(capacities.length).toBeLessThanOrEqual(3 * 5);
+    group.get('ledger-3').executionMs = 10;
+    await sendReads(6);
+    const again = await sendReads(3);
+    expect(again['ledger-3']).toBeGreaterThan(even['ledger-3']! / 2);
+  });
+
+  // Guards against an endpoint that attracts reads by failing them quickly.
+  it('learns no speed from failures', async () => {
+    group.endpoints.forEach(endpoint => (endpoint.executionMs = 20));
+    const failing = group.get('ledger-3');
+    failing.executionMs = 1;
+    failing.failEveryNth = 1;
+    await sendReads(3);
+    expect(capacities.filter(({endpoint}) => endpoint === 'ledger-3')).toEqual(
+      [],
+    );
+  });
+
+  // Guards against a limit that holds up writes, which no replica can take.
+  it('leaves a slow primary half of its slots for writes', async () => {
+    group.endpoints.forEach(endpoint => (endpoint.executionMs = 10));
+    await sendReads(2);
+    group.get('ledger-1').executionMs = 50;
+    await sendReads(2);
+    const writes = Array.from({length: 10}, () =>
+      send({statement: WRITE, timeoutLeftMs: 1_000}),
+    );
+    await advanceTime(1_000);
+    expect(writes.map(request => results.get(request)?.type)).toEqual(
+      writes.map(() => 'done'),
+    );
+  });
+});
--- a/packages/pooler/src/owner/capacity.ts
+++ b/packages/pooler/src/owner/capacity.ts
@@ -20,6 +20,13 @@
   readonly at: Instant;
 }
 
+/** Until when an endpoint is slow after its start, by its last report. */
+interface ColdTime {
+  readonly startedAt: number;
+  readonly leftMs: number;
+  readonly until: Instant;
+}
+
 /** Estimates of a pool; they start anew with each owner. */
 export interface Capacity {
   readonly times: ServiceTimes;
@@ -41,19 +48,21 @@
   readEntry: (endpoint: EndpointId) => EndpointEntry | undefined,
   now: () => Instant,
 ): Capacity {
-  const coldUntil = new Map<EndpointId, readonly [EndpointEntry, Instant]>();
+  const coldTimes = new Map<EndpointId, ColdTime>();
   const readColdUntil = (endpoint: EndpointId): Instant | null => {
     const entry = readEntry(endpoint);
     if (entry === undefined) {
-      coldUntil.delete(endpoint);
+      coldTimes.delete(endpoint);
       return null;
     }
-    const known = coldUntil.get(endpoint);
-    if (known?.[0] === entry) {
-      return known[1];
+    const {startedAt, coldLeftMs = 0} = entry;
+    const known = coldTimes.get(endpoint);
+    // A list repeats the reports that are known.
+    if (known?.startedAt === startedAt && known.leftMs === coldLeftMs) {
+      return known.until;
     }
-    const until = now() + (entry.coldLeftMs ?? 0);
-    coldUntil.set(endpoint, [entry, until]);
+    const until = now() + coldLeftMs;
+    coldTimes.set(endpoint, {startedAt, leftMs: coldLeftMs, until});
     return until;
   };
   return {
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -3,7 +3,13 @@
 import type {FieldValue} from '@lacewingroad/core';
 import {registerGauge} from './gauges.js';
 import type {GaugeDefinition} from './gauges.js';
-import {collectDefaultMetrics, Counter, Histogram, Registry} from 'prom-client';
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from 'prom-client';
 
 type Fields = Readonly<Record<string, FieldValue>>;
 type EventCounter = (fields: Fields) => void;
@@ -174,6 +180,38 @@
     });
 }
 
+/** Creates the gauges of the capacity that owners estimate for endpoints. */
+function createCapacityGauges(registry: Registry): EventCounter {
+  const group = createBoundedLabel();
+  const endpoint = createBoundedLabel();
+  const define = (name: string, help: string): Gauge =>
+    new Gauge({
+      name,
+      help,
+      labelNames: ['group', 'endpoint'],
+      registers: [registry],
+    });
+  const factors = define(
+    'lacewingroad_endpoint_speed_factor',
+    'Service time at an endpoint relative to the normal one, as last logged.',
+  );
+  const limits = define(
+    'lacewingroad_endpoint_concurrency_limit',
+    'Statements that an endpoint runs well concurrently, as last logged.',
+  );
+  return fields => {
+    const labels = {
+      group: group(fields['group']),
+      endpoint: endpoint(fields['endpoint']),
+    };
+    const {factor, limit} = fields;
+    if (typeof factor === 'number' && typeof limit === 'number') {
+      factors.set(labels, factor);
+      limits.set(labels, limit);
+    }
+  };
+}
+
 /** Creates the histogram of the time that requests wait for a slot. */
 function createQueueHistogram(registry: Registry): EventCounter {
   const endpoint = createBoundedLabel();
@@ -233,6 +271,7 @@
     platform_called: createPlatformCounter(registry),
     job_refused: createRefusalCounter(registry),
     job_started: createQueueHistogram(registry),
+    endpoint_capacity: createCapacityGauges(registry),
   };
   return {
     count: (event, fields) => {
