--- a/packages/peer/src/__tests__/unit/peer_adapter.test.ts
+++ b/packages/peer/src/__tests__/unit/peer_adapter.test.ts
@@ -1,3 +1,6 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 import {WebSocket} from 'ws';
 import type {RunMessage} from '@lacewingroad/core';
@@ -275,3 +278,49 @@
     expect(typeof read.statement.params[1]).toBe('bigint');
   });
 });
+
+describe('connections without a hello', () => {
+  const UPGRADE =
+    'GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n' +
+    'Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n' +
+    'Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n';
+
+  const open = (port: number): Socket => {
+    const socket = connect({host: '127.0.0.1', port});
+    socket.on('error', () => undefined).resume();
+    cleanups.push(() => socket.destroy());
+    return socket;
+  };
+
+  // Frames of up to 64 MiB were kept until the timeout of the hello.
+  it('are closed after 64 KiB', async () => {
+    const peer = await start('a', new Map());
+    const socket = open(peer.port);
+    socket.write(UPGRADE);
+    // The header of a masked binary frame of 1 MiB, and a part of it.
+    socket.write(Buffer.from('82ff0000000000100000dddddddd', 'hex'));
+    socket.write(Buffer.alloc(100_000));
+    await once(socket, 'close');
+  });
+
+  it('are closed when they are silent, upgraded or not', async () => {
+    const peer = await start('a', new Map());
+    const sockets = [open(peer.port), open(peer.port)];
+    sockets[0]!.write(UPGRADE);
+    await Promise.all(sockets.map(socket => once(socket, 'close')));
+  });
+
+  it('do not keep other hosts out', async () => {
+    const addresses: Addresses = new Map();
+    const a = await start('a', addresses);
+    const b = await start('b', addresses);
+    const sockets = Array.from({length: 100}, () => open(a.port));
+    await Promise.all(sockets.map(socket => once(socket, 'connect')));
+    b.adapter.performers.send({
+      type: 'send',
+      host: 'a',
+      msg: createMessage(1),
+    });
+    await waitFor(() => receivedAsks(a).length === 1);
+  });
+});
--- a/packages/pooler/src/decisions/client_budget.ts
+++ b/packages/pooler/src/decisions/client_budget.ts
@@ -63,6 +63,8 @@
   readonly pressureMs: number;
   /** Statements that a session may have unanswered. */
   readonly statementsAhead: number;
+  /** Bytes of the large statements that an owner takes from other hosts. */
+  readonly forwardedBytes: number;
 }
 
 /** Returns the limits for a host's memory and descriptors. */
@@ -71,11 +73,13 @@
   maxFds: number = DEFAULT_MAX_FDS,
   own: Partial<ClientLimits> = {},
 ): ClientLimits {
-  const bytes = ((memoryMb - REST_MEMORY_MB) * MIB) / COST_FACTOR;
+  const share = ((memoryMb - REST_MEMORY_MB) * MIB) / COST_FACTOR;
+  const bytes = Math.round(Math.min(MAX_BYTES, Math.max(MIN_BYTES, share)));
   const set = Object.entries(own).filter(([, value]) => value !== undefined);
   return {
     ...DEFAULTS,
-    bytes: Math.round(Math.min(MAX_BYTES, Math.max(MIN_BYTES, bytes))),
+    bytes,
+    forwardedBytes: bytes,
     sessions: Math.max(1, Math.floor(maxFds * SESSION_FD_SHARE)),
     ...Object.fromEntries(set),
   };
--- a/packages/pooler/src/index.ts
+++ b/packages/pooler/src/index.ts
@@ -9,6 +9,7 @@
 export * from './model/result.js';
 export * from './model/statement.js';
 export * from './decisions/client_budget.js';
+export {createRunBudget} from './decisions/run_budget.js';
 export type {CallerFault, CallerReply} from './entry/caller_reply.js';
 export type {Entry, OpenResult} from './entry/entry.js';
 export {createHost} from './host.js';
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -174,6 +174,18 @@
     });
 }
 
+/** Creates the counter of sessions that are closed at a limit of clients. */
+function createClosedSessionCounter(registry: Registry): EventCounter {
+  const reason = createBoundedLabel();
+  const closed = new Counter({
+    name: 'lacewingroad_sessions_closed_total',
+    help: 'Sessions that were closed at a limit of clients.',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
+  return fields => closed.inc({reason: reason(fields['reason'])});
+}
+
 /** Creates the histogram of the time that requests wait for a slot. */
 function createQueueHistogram(registry: Registry): EventCounter {
   const endpoint = createBoundedLabel();
@@ -233,6 +245,7 @@
     platform_called: createPlatformCounter(registry),
     job_refused: createRefusalCounter(registry),
     job_started: createQueueHistogram(registry),
+    session_closed: createClosedSessionCounter(registry),
   };
   return {
     count: (event, fields) => {
