--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -213,6 +213,18 @@
   };
 }
 
+/** Creates the counter of sessions that are closed at a limit of clients. */
+function createClosedSessionCounter(registry: Registry): EventCounter {
+  const reason = createBoundedLabel();
+  const closed = new Counter({
+    name: 'lacewingroad_sessions_closed_total',
+    help: 'Sessions that were closed at a limit of clients.',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
+  return fields => closed.inc({reason: reason(fields['reason'])});
+}
+
 /** Creates the histogram of the time that requests wait for a slot. */
 function createQueueHistogram(registry: Registry): EventCounter {
   const endpoint = createBoundedLabel();
@@ -274,6 +286,7 @@
     job_started: createQueueHistogram(registry),
     ...createConnCounters(registry, createBoundedLabel),
     endpoint_capacity: createCapacityGauges(registry),
+    session_closed: createClosedSessionCounter(registry),
   };
   return {
     count: (event, fields) => {
