Scale the limit of host connections without a hello with the descriptors

Cause: a host accepted at most 64 connections without a hello, but hundreds of hosts connect to a new owner at the same time, and the oldest of them were closed. Change: an eighth of the descriptors, at least the former 64.

--- a/packages/peer/src/new_connections.ts
+++ b/packages/peer/src/new_connections.ts
@@ -2,11 +2,7 @@
 
 import type {Socket} from 'node:net';
 import type {Runtime} from '@lacewingroad/runtime';
-import {
-  CONNECT_TIMEOUT_MS,
-  MAX_BYTES_BEFORE_HELLO,
-  MAX_CONNECTIONS_BEFORE_HELLO,
-} from './limits.js';
+import {CONNECT_TIMEOUT_MS, MAX_BYTES_BEFORE_HELLO} from './limits.js';
 
 /** Accepted connections without a hello. */
 export interface NewConnections {
@@ -17,11 +13,12 @@
 }
 
 /**
- * Creates an empty set. `onDropped` is called for each connection that is closed
+ * Creates an empty set of at most `maxConnections`. `onDropped` is called for each connection that is closed
  * because it exceeded a bound.
  */
 export function createNewConnections(
   runtime: Runtime,
+  maxConnections: number,
   onDropped: (reason: string) => void,
 ): NewConnections {
   /** Functions that end the observation, by connection; the oldest is first. */
@@ -62,7 +59,7 @@
         socket.off('data', countBytes);
         socket.off('close', forget);
       });
-      if (observed.size > MAX_CONNECTIONS_BEFORE_HELLO) {
+      if (observed.size > maxConnections) {
         const [oldest] = observed.keys();
         drop(oldest!, 'too_many_connections');
       }
--- a/packages/peer/src/peer_adapter.ts
+++ b/packages/peer/src/peer_adapter.ts
@@ -19,6 +19,7 @@
   MAX_ACCEPTED_CONNECTIONS,
   MAX_FRAME_BYTES,
   RECEIVE_TIMEOUT_MS,
+  MAX_CONNECTIONS_BEFORE_HELLO,
 } from './limits.js';
 import {createNewConnections} from './new_connections.js';
 import type {NewConnections} from './new_connections.js';
@@ -48,6 +49,8 @@
   readonly heartbeats?: IdleHeartbeats;
   /** Called when an accepted connection is closed before its hello. */
   readonly onDropped?: (reason: string) => void;
+  /** Accepted connections that may be without a hello at once. */
+  readonly maxNewConnections?: number;
 }
 
 /** Sends messages to other entry hosts and receives theirs. */
@@ -146,8 +149,10 @@
     }
   };
 
-  const newConnections = createNewConnections(runtime, reason =>
-    cfg.onDropped?.(reason),
+  const newConnections = createNewConnections(
+    runtime,
+    cfg.maxNewConnections ?? MAX_CONNECTIONS_BEFORE_HELLO,
+    reason => cfg.onDropped?.(reason),
   );
 
   const accept = (socket: WebSocket, tcpSocket: Socket): void => {
--- a/packages/pooler/src/decisions/client_budget.ts
+++ b/packages/pooler/src/decisions/client_budget.ts
@@ -20,6 +20,10 @@
 const MAX_BYTES = 24 * MIB;
 /** Share of the descriptors that sessions may use. */
 const SESSION_FD_SHARE = 0.6;
+/** Share that connections of other hosts may use before they say hello. */
+const PEER_FD_SHARE = 0.125;
+/** Least number of these: hosts of a fleet connect at the same time. */
+const MIN_NEW_PEER_CONNECTIONS = 64;
 /** Share of the budget above which the largest consumer is closed at once. */
 const HARD_LIMIT_FACTOR = 1.25;
 /** Sessions that hold less than this are read even beyond the budget. */
@@ -55,6 +59,8 @@
   readonly sessionBytes: number;
   /** Connections of clients. */
   readonly sessions: number;
+  /** Connections of other hosts that have not said hello. */
+  readonly newPeerConnections: number;
   /** Time from a connection to its complete CONNECT, in ms. */
   readonly connectMs: number;
   /** Time from the first byte of a line to its end, in ms. */
@@ -81,6 +87,10 @@
     bytes,
     forwardedBytes: bytes,
     sessions: Math.max(1, Math.floor(maxFds * SESSION_FD_SHARE)),
+    newPeerConnections: Math.max(
+      MIN_NEW_PEER_CONNECTIONS,
+      Math.floor(maxFds * PEER_FD_SHARE),
+    ),
     ...Object.fromEntries(set),
   };
 }
