End sessions at MySQL endpoints whose connections went silent

Cause: a connection that goes silent is closed here, but the endpoint goes on counting it until it notices the loss. Each lost connection of the pool and of the probes took one of the endpoint's connections for good; new ones were refused (1040) and writes got 9101 after 15 s.

Change: each connection to an endpoint carries a random token as a connection attribute. The token of one that is closed while a statement has no answer is kept (at most 64 per endpoint), and the next connection that opens to that endpoint reads its id from performance_schema by the token and ends it with KILL CONNECTION. The id alone would not do: after a restart of the endpoint it may belong to another client. An endpoint without the table is asked once and keeps the session as before. The stand-in endpoint implements both statements and the attribute; the table shows the sessions of one's own user only.

The new test of the stand-in failed first, as replicas' sessions were listed too, and passes.

--- a/packages/mysql/src/__tests__/unit/endpoint_faults.test.ts
+++ b/packages/mysql/src/__tests__/unit/endpoint_faults.test.ts
@@ -2,6 +2,7 @@
 import {afterEach, describe, expect, test} from 'vitest';
 import {ok} from './fake_core.js';
 import {
+  POLL_OPTIONS,
   SHORT_DEADLINE_MS,
   cleanups,
   startAdapter,
@@ -89,6 +90,67 @@
     expect(getEvents()).toHaveLength(2);
   });
 
+  // The endpoint went on counting connections that had gone silent, and
+  // refused new ones.
+  test('ends a session that gave no answer over the next connection', async () => {
+    const tokens: (string | undefined)[] = [];
+    const queries: string[][] = [];
+    const port = await startMysql2Server(connection => {
+      const index = queries.push([]) - 1;
+      connection.serverHandshake({
+        protocolVersion: 10,
+        serverVersion: '8',
+        connectionId: 41 + index,
+        statusFlags: 2,
+        characterSet: 45,
+        capabilityFlags: 0xb3fe00 & ~0x800000,
+      });
+      connection.on('query', (sql: string) => {
+        const {clientHelloReply} = connection as unknown as {
+          clientHelloReply: {connectAttributes: Record<string, string>};
+        };
+        tokens[index] =
+          clientHelloReply.connectAttributes['lacewingroad_session'];
+        queries[index]!.push(sql);
+        if (sql.startsWith('SELECT PROCESSLIST_ID')) {
+          const column = {
+            catalog: 'def',
+            schema: '',
+            table: '',
+            orgTable: '',
+            name: 'PROCESSLIST_ID',
+            orgName: '',
+            characterSet: 45,
+            columnLength: 20,
+            columnType: 8,
+            flags: 0,
+            decimals: 0,
+          };
+          connection.writeTextResult([{PROCESSLIST_ID: 41}], [column] as never);
+        } else if (!sql.startsWith('SELECT')) {
+          connection.writeOk();
+        }
+      });
+    });
+    startAdapter();
+    const {performers} = getAdapter();
+    const close = (): void =>
+      performers.close_conn({type: 'close_conn', endpoint: 'e-1', conn: 1});
+    await openConn(port);
+    sendStatement('SELECT 1', null);
+    await expect.poll(() => queries[0], POLL_OPTIONS).toEqual(['SELECT 1']);
+    close();
+    await openConn(port);
+    await expect.poll(() => queries[1]?.length, POLL_OPTIONS).toBe(2);
+    expect(queries[1]![0]).toContain(`ATTR_VALUE IN ('${tokens[0]}')`);
+    expect(queries[1]![1]).toBe('KILL CONNECTION 41');
+    expect(tokens[1]).not.toBe(tokens[0]);
+    close();
+    await openConn(port);
+    sendStatement('DO 1', null);
+    await expect.poll(() => queries[2], POLL_OPTIONS).toEqual(['DO 1']);
+  });
+
   test('emits no event after close_conn', async () => {
     const port = await startCallerAdapterServer(
       () => new Promise(() => undefined),
--- a/packages/mysql/src/endpoint_adapter.ts
+++ b/packages/mysql/src/endpoint_adapter.ts
@@ -8,6 +8,7 @@
   type EndpointConn,
   type EndpointConnConfig,
 } from './endpoint_conn.js';
+import {createLostSessions} from './lost_sessions.js';
 import {createProber} from './probe.js';
 
 /** Settings of an endpoint adapter. */
@@ -20,8 +21,9 @@
 
 /** Creates the adapter; it connects only when an action requires it. */
 export function createEndpointAdapter(
-  cfg: EndpointAdapterConfig,
+  settings: EndpointAdapterConfig,
 ): EndpointAdapter {
+  const cfg = {...settings, lostSessions: createLostSessions()};
   const events = new Subject<Event>();
   const conns = new Map<ConnId, EndpointConn>();
   const commands = new Set<() => void>();
--- a/packages/mysql/src/endpoint_conn.ts
+++ b/packages/mysql/src/endpoint_conn.ts
@@ -1,6 +1,7 @@
 /** Opens connections to endpoints with the mysql2 client. */
 
 import mysql, {createConnection} from 'mysql2';
+import {randomUUID} from 'node:crypto';
 import type {EventEmitter} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import type {
@@ -19,6 +20,8 @@
   type Mysql2Row,
 } from './endpoint_answer.js';
 import {KEEPALIVE_DELAY_MS, MAX_ENDPOINT_STATEMENTS} from './limits.js';
+import {SESSION_ATTRIBUTE} from './lost_sessions.js';
+import type {LostSessions} from './lost_sessions.js';
 
 /** Settings of connections to endpoints. */
 export interface EndpointConnConfig {
@@ -29,6 +32,8 @@
   readonly password: string;
   /** Database to select at login, or undefined for none. */
   readonly database?: string;
+  /** Sessions to end over the next connections; none are if undefined. */
+  readonly lostSessions?: LostSessions;
 }
 
 /** The address of an endpoint and the deadline for connecting. */
@@ -84,11 +89,17 @@
     keepAlive: true,
     keepAliveInitialDelay: KEEPALIVE_DELAY_MS,
   });
-  const client = createClient(cfg, socket);
+  const token = randomUUID();
+  const address = `${target.address}:${target.port}`;
+  const client = createClient(cfg, socket, token);
   let isOpen = false;
   let isClosed = false;
+  let unanswered = 0;
 
   const close = (): void => {
+    if (!isClosed && unanswered > 0) {
+      cfg.lostSessions?.add(address, token);
+    }
     isClosed = true;
     cancelDeadline();
     socket.destroy();
@@ -112,28 +123,31 @@
     }
     isOpen = true;
     cancelDeadline();
+    cfg.lostSessions?.end(address, run);
     listener.onOpen();
   });
 
-  return {
-    destroy: close,
-    run: (statement, done) => {
-      if (isClosed) {
-        return;
+  const run: EndpointConn['run'] = (statement, done) => {
+    if (isClosed) {
+      return;
+    }
+    unanswered += 1;
+    runStatement(client, statement, answer => {
+      unanswered -= 1;
+      if (!isClosed) {
+        done(answer);
       }
-      runStatement(client, statement, answer => {
-        if (!isClosed) {
-          done(answer);
-        }
-      });
-    },
+    });
   };
+
+  return {destroy: close, run};
 }
 
 /** Creates a client that sends nothing but the handshake when it connects. */
 function createClient(
   cfg: EndpointConnConfig,
   socket: Socket,
+  token: string,
 ): Mysql2Connection {
   const connection = createConnection({
     stream: () => socket,
@@ -148,6 +162,7 @@
     bigNumberStrings: true,
     maxPreparedStatements: MAX_ENDPOINT_STATEMENTS,
     flags: ['-LOCAL_FILES'],
+    connectAttributes: {[SESSION_ATTRIBUTE]: token},
   });
   return connection as unknown as Mysql2Connection;
 }
--- a/packages/mysql/src/limits.ts
+++ b/packages/mysql/src/limits.ts
@@ -37,3 +37,5 @@
 export const MAX_ENDPOINT_STATEMENTS = 64;
 /** Time after which an unused probe connection is closed, in milliseconds. */
 export const PROBE_IDLE_MS = 30_000;
+/** Maximum number of lost sessions per endpoint that are ended later. */
+export const MAX_LOST_SESSIONS = 64;
--- a/packages/standins/src/__tests__/integration/standins.test.ts
+++ b/packages/standins/src/__tests__/integration/standins.test.ts
@@ -117,6 +117,31 @@
     await waitForIndex('g1-b', 0);
   });
 
+  it('name the connections with an attribute, and close one by its id', async () => {
+    const victim = await connectTo('g1-a');
+    const other = await connectTo('g1-a');
+    const query =
+      'SELECT PROCESSLIST_ID AS id ' +
+      'FROM performance_schema.session_account_connect_attrs ' +
+      "WHERE ATTR_NAME = '_client_name' AND ATTR_VALUE IN (?, ?)";
+    const listIds = async (): Promise<readonly number[]> =>
+      (await rows(other, query, ['x', 'Node-MySQL-2'])).map(({id}) =>
+        Number(id),
+      );
+    expect(await listIds()).toContain(victim.threadId);
+    const [none] = await other.query(query, ['x', 'y']);
+    expect(none).toEqual([]);
+    await other.query(`KILL CONNECTION ${victim.threadId}`);
+    await expect(victim.query('SELECT 1')).rejects.toThrow();
+    await vi.waitFor(
+      async () => expect(await listIds()).toEqual([other.threadId]),
+      WAIT_OPTIONS,
+    );
+    await expect(other.query(`KILL ${victim.threadId}`)).rejects.toMatchObject({
+      errno: 1094,
+    });
+  });
+
   it('replicate, and drop entries that are missing in the new term after a promotion', async () => {
     const [a, b, c] = await Promise.all(
       ['g1-a', 'g1-b', 'g1-c'].map(id => connectTo(id)),
--- a/packages/standins/src/__tests__/unit/ledger.test.ts
+++ b/packages/standins/src/__tests__/unit/ledger.test.ts
@@ -36,6 +36,8 @@
     variable: () => null,
     onStatement: () => undefined,
     onDataStatement: () => undefined,
+    systemTable: () => null,
+    kill: () => false,
   };
   return {runtime, ledger, open: () => createSession(deps, 'shop')};
 }
--- a/packages/standins/src/endpoint/endpoint.ts
+++ b/packages/standins/src/endpoint/endpoint.ts
@@ -19,8 +19,10 @@
 import {createSession} from './session.js';
 import type {SessionDeps} from './session.js';
 import {createSlots} from './slots.js';
+import {createTable} from './table_store.js';
+import type {Table} from './table_store.js';
 import {LEDGER_ERRORS} from './values.js';
-import type {SqlValue} from './values.js';
+import type {ColumnDef, SqlValue} from './values.js';
 import {encodeError} from './wire.js';
 
 const SERVER_VERSION = '8.0.36-ledger';
@@ -39,6 +41,7 @@
   0x2000, // TRANSACTIONS
   0x8000, // SECURE_CONNECTION
   0x8_0000, // PLUGIN_AUTH
+  0x10_0000, // CONNECT_ATTRS
 ].reduce((flags, flag) => flags | flag, 0);
 
 /** Behavior of an endpoint that tests can change at run time. */
@@ -75,6 +78,9 @@
 interface ServerConnection {
   readonly serverHandshake: (args: Readonly<Record<string, unknown>>) => void;
   readonly on: (event: 'error', fn: (err: unknown) => void) => void;
+  readonly clientHelloReply: {
+    readonly connectAttributes?: Readonly<Record<string, string>>;
+  };
   sequenceId: number;
   handlePacket: (packet: ServerPacket) => void;
 }
@@ -98,6 +104,46 @@
   dataStatementsTotal: number;
 }
 
+/** A logged-in connection. */
+interface Login {
+  readonly socket: Socket;
+  readonly user: string;
+  readonly attributes: Readonly<Record<string, string>>;
+}
+
+/** The system table of the connection attributes of a user's sessions. */
+const ATTRIBUTES = 'session_account_connect_attrs';
+
+function listAttributes(
+  logins: ReadonlyMap<number, Login>,
+  ofUser: string,
+): Table {
+  const column = (name: string, kind: ColumnDef['kind']): ColumnDef => ({
+    name,
+    kind,
+    table: ATTRIBUTES,
+    isAutoIncrement: false,
+  });
+  const table = createTable({
+    name: ATTRIBUTES,
+    columns: [
+      column('PROCESSLIST_ID', 'bigint'),
+      column('ATTR_NAME', 'string'),
+      column('ATTR_VALUE', 'string'),
+    ],
+    keys: [],
+  });
+  const own = [...logins].filter(([, {user}]) => user === ofUser);
+  for (const [id, {attributes}] of own) {
+    for (const [name, value] of Object.entries(attributes)) {
+      const recordId = table.nextRecordId++;
+      const committed = [id, name, value];
+      table.records.set(recordId, {id: recordId, committed, pending: null});
+    }
+  }
+  return table;
+}
+
 /** Starts a simulated endpoint. */
 export async function startEndpoint(
   cfg: EndpointConfig,
@@ -135,7 +181,13 @@
     }
   };
 
-  const deps: SessionDeps = {
+  const logins = new Map<number, Login>();
+
+  const deps: Omit<SessionDeps, 'systemTable'> = {
+    kill: id => {
+      logins.get(id)?.socket.destroy();
+      return logins.has(id);
+    },
     ledger,
     slots,
     runtime,
@@ -153,6 +205,7 @@
   const logIn = (
     socket: Socket,
     connection: ServerConnection,
+    id: number,
     info: LoginInfo,
     accept: () => void,
   ): void => {
@@ -165,13 +218,19 @@
       socket.end();
       return;
     }
-    const session = createSession(deps, info.database ?? '');
+    const {user, database = ''} = info;
+    const systemTable: SessionDeps['systemTable'] = name =>
+      name === ATTRIBUTES ? listAttributes(logins, user) : null;
+    const session = createSession({...deps, systemTable}, database);
+    const attributes = connection.clientHelloReply.connectAttributes ?? {};
+    logins.set(id, {socket, user, attributes});
     if (!isReplication) {
       counters.connections += 1;
       counters.connectionsTotal += 1;
     }
     socket.on('close', () => {
       session.close();
+      logins.delete(id);
       counters.connections -= isReplication ? 0 : 1;
     });
     const serve = serveCommands(socket, session, waitWhilePaused);
@@ -189,15 +248,16 @@
     }
     const connection = createServerConnection(socket);
     connection.on('error', () => socket.destroy());
+    const id = nextConnectionId++;
     connection.serverHandshake({
       protocolVersion: 10,
       serverVersion: SERVER_VERSION,
-      connectionId: nextConnectionId++,
+      connectionId: id,
       statusFlags: 2,
       characterSet: CHARSET_UTF8MB4,
       capabilityFlags: CAPABILITIES,
       authCallback: (info: LoginInfo, done: (err: null) => void) =>
-        logIn(socket, connection, info, () => done(null)),
+        logIn(socket, connection, id, info, () => done(null)),
     });
   };
 
--- a/packages/standins/src/endpoint/session.ts
+++ b/packages/standins/src/endpoint/session.ts
@@ -9,12 +9,12 @@
 import type {DataStatement, Reply} from './executor.js';
 import type {Ledger} from './ledger.js';
 import {PROCEDURES} from './procedures.js';
-import {createRowScope} from './select.js';
+import {createRowScope, runSelect} from './select.js';
 import type {StatementContext} from './select.js';
 import type {Slots} from './slots.js';
 import type {Expr, ParsedSql, SqlStatement} from './sql_ast.js';
 import {evaluate} from './sql_expression.js';
-import type {Transaction} from './table_store.js';
+import type {Table, Transaction} from './table_store.js';
 import {LEDGER_ERRORS} from './values.js';
 import type {SqlValue} from './values.js';
 
@@ -31,6 +31,10 @@
   readonly onStatement: () => void;
   /** Called for each data statement before it waits for a slot. */
   readonly onDataStatement: () => void;
+  /** Returns a system table, or null if `name` is none. */
+  readonly systemTable: (name: string) => Table | null;
+  /** Closes a connection; returns whether there is one with that id. */
+  readonly kill: (id: number) => boolean;
 }
 
 /** The state of one connection. */
@@ -195,7 +199,12 @@
   };
 
   const handlers: Handlers = {
-    select: runDataStatement,
+    select: (statement, parsed, ctx) => {
+      const table = deps.systemTable(statement.table ?? '');
+      return table === null
+        ? runDataStatement(statement, parsed, ctx)
+        : runSelect(statement, () => table, ctx, null);
+    },
     create: (statement, parsed, ctx) => {
       commit();
       return runDataStatement(statement, parsed, ctx);
@@ -212,6 +221,13 @@
       const args = statement.args.map(arg => evaluate(arg, scope));
       return procedure(args, ledger, runtime);
     },
+    kill: ({id}, _parsed, ctx) => {
+      const value = Number(evaluate(id, createRowScope(ctx, new Map(), [])));
+      if (!deps.kill(value)) {
+        throw LEDGER_ERRORS.unknownThread(value);
+      }
+      return EMPTY_OK;
+    },
     set_autocommit: ({isOn}) => {
       isAutocommit = isOn;
       return isOn ? commit() : EMPTY_OK;
--- a/packages/standins/src/endpoint/sql_ast.ts
+++ b/packages/standins/src/endpoint/sql_ast.ts
@@ -106,6 +106,7 @@
       readonly name: string;
       readonly args: readonly Expr[];
     }
+  | {readonly type: 'kill'; readonly id: Expr}
   | {readonly type: 'set_autocommit'; readonly isOn: boolean}
   | {readonly type: 'begin'}
   | {readonly type: 'commit'}
--- a/packages/standins/src/endpoint/sql_parser.ts
+++ b/packages/standins/src/endpoint/sql_parser.ts
@@ -268,6 +268,10 @@
     name: reader.name().toLowerCase(),
     args: parseList(reader),
   }),
+  KILL: reader => {
+    reader.tryWord('CONNECTION');
+    return {type: 'kill', id: parseExpr(reader)};
+  },
   BEGIN: reader => {
     reader.tryWord('WORK');
     return {type: 'begin'};
--- a/packages/standins/src/endpoint/values.ts
+++ b/packages/standins/src/endpoint/values.ts
@@ -53,6 +53,8 @@
       '23000',
       `Duplicate entry '${value}' for key '${key}'`,
     ),
+  unknownThread: (id: number) =>
+    new LedgerError(1094, 'HY000', `Unknown thread id: ${id}`),
   lockWait: () =>
     new LedgerError(
       1205,
