--- a/packages/pooler/src/__tests__/unit/client_budget.test.ts
+++ b/packages/pooler/src/__tests__/unit/client_budget.test.ts
@@ -18,6 +18,7 @@
   bytes: 4 * MIB,
   sessionBytes: 2 * MIB,
   sessions: 8,
+  newPeerConnections: 64,
   connectMs: 1_000,
   partialLineMs: 2_000,
   pressureMs: 500,
