--- a/packages/pooler/src/__tests__/unit/message_check.test.ts
+++ b/packages/pooler/src/__tests__/unit/message_check.test.ts
@@ -56,6 +56,16 @@
   {type: 'record', stored: {revision: 1, ownership: OWNERSHIP}},
   {type: 'table_ask', ask: 1, version: null},
   {type: 'table_news', ask: null, ageMs: 3, table: packTable(TABLE)},
+  {
+    type: 'allowance_ask',
+    ask: 1,
+    needs: [{workspace: 'w', admission: 1.5, start: 0}],
+  },
+  {
+    type: 'allowance_grant',
+    ask: 1,
+    loans: [{workspace: 'w', admission: 1, start: 0, left: 2}],
+  },
   {type: 'hello', isDraining: false},
 ];
 
