--- a/packages/pooler/src/owner/conn_report.ts
+++ b/packages/pooler/src/owner/conn_report.ts
@@ -2,8 +2,9 @@
 
 import type {EndpointId} from '@lacewingroad/core';
 import type {Instant} from '@lacewingroad/runtime';
+import {getConnLimit} from './conn_limit.js';
 import {countAllConns, NO_CONNS} from './connections.js';
-import type {EndpointState, Pool} from './state.js';
+import type {Pool} from './state.js';
 
 /** Interval at which the numbers of connections are counted, in ms. */
 const COUNT_INTERVAL_MS = 1_000;
@@ -25,11 +26,8 @@
   readonly close: () => void;
 }
 
-/** Creates the report; `getLimit` returns the limit of an endpoint. */
-export function createConnReport(
-  pool: Pool,
-  getLimit: (state: EndpointState) => number,
-): ConnReport {
+/** Creates the report of a pool. */
+export function createConnReport(pool: Pool): ConnReport {
   const {group, ports} = pool.cfg;
   const contention = new Map<EndpointId, Contention>();
   const reported = new Set<EndpointId>();
@@ -54,7 +52,7 @@
         group,
         endpoint: id,
         held: total,
-        limit: getLimit(state),
+        limit: getConnLimit(pool, state),
         pinned,
         running,
         free,
--- a/packages/pooler/src/owner/connections.ts
+++ b/packages/pooler/src/owner/connections.ts
@@ -1,7 +1,6 @@
 /** Opens, checks and closes the connections of a pool. */
 
 import type {EndpointId} from '@lacewingroad/core';
-import {readConnLimit} from '../decisions/connection_limit.js';
 import type {WorkspaceId} from '../model/directory.js';
 import type {EndpointFault, SessionState} from '../model/statement.js';
 import {
@@ -11,15 +10,11 @@
   MAX_OPENING,
   OPEN_TIMEOUT_MS,
   REOPEN_MS,
-  RESERVED_CONNECTIONS,
-  SLOT_OVERBOOKING,
 } from './limits.js';
+import {getConnLimit, getSlotLimit} from './conn_limit.js';
 import {markUp, markDown, recordOutcome} from './state.js';
 import type {Conn, EndpointState, Pool} from './state.js';
 
-/** Connection limit for a group whose table entry sets none. */
-const DEFAULT_MAX_CONNECTIONS = 10;
-
 /** Numbers of connections to an endpoint, by use. */
 export interface ConnCounts {
   readonly total: number;
@@ -40,20 +35,6 @@
 /** Called when a connection is lost; ends the request and transaction on it. */
 export type OnConnLost = (conn: Conn, detail: string) => void;
 
-/** Returns how many statements may be sent to an endpoint concurrently. */
-export function getSlotLimit({entry}: EndpointState): number {
-  return Math.max(1, entry.slots) + SLOT_OVERBOOKING;
-}
-
-/** Returns how many connections the pool may hold to an endpoint. */
-export function getConnLimit(pool: Pool, {refusal}: EndpointState): number {
-  const {group, readTable} = pool.cfg;
-  const configured = readTable()?.groups.get(group)?.maxConnections;
-  const limit = configured ?? DEFAULT_MAX_CONNECTIONS;
-  const configuredLimit = Math.max(1, limit - RESERVED_CONNECTIONS);
-  return readConnLimit(configuredLimit, refusal, pool.now());
-}
-
 export const NO_CONNS: ConnCounts = {
   total: 0,
   opening: 0,
--- a/packages/pooler/src/owner/limits.ts
+++ b/packages/pooler/src/owner/limits.ts
@@ -2,11 +2,6 @@
 
 /** Connections per endpoint left for status probes and the previous owner. */
 export const RESERVED_CONNECTIONS = 2;
-/**
- * Connections per endpoint that are left in addition where connections speak for
- * workspaces: the endpoint may still count one that was just closed for another.
- */
-export const WORKSPACE_RESERVED_CONNECTIONS = 1;
 /**
  * Statements sent beyond an endpoint's slots, to hide the network round trip.
  */
--- a/packages/pooler/src/owner/views.ts
+++ b/packages/pooler/src/owner/views.ts
@@ -3,7 +3,8 @@
 import {computeFaultShare} from '../decisions/fault_level.js';
 import type {EndpointView} from '../decisions/placement.js';
 import type {WorkspaceId} from '../model/directory.js';
-import {countAllConns, getSlotLimit, NO_CONNS} from './connections.js';
+import {getSlotLimit} from './conn_limit.js';
+import {countAllConns, NO_CONNS} from './connections.js';
 import {hasOpenCalls} from './promotion_calls.js';
 import type {Pool} from './state.js';
 
--- a/packages/pooler/src/owner/workspace_conns.ts
+++ b/packages/pooler/src/owner/workspace_conns.ts
@@ -19,15 +19,12 @@
 import {findReadRequirements} from './acks.js';
 import {createConnReport} from './conn_report.js';
 import {createConnUses} from './conn_uses.js';
-import {getConnLimit, getSlotLimit, isFree, openConn} from './connections.js';
+import {getConnLimit, getSlotLimit} from './conn_limit.js';
+import {isFree, openConn} from './connections.js';
 import type {OnConnLost} from './connections.js';
-import {
-  IDLE_CLOSE_MS,
-  MAX_OPENING,
-  WORKSPACE_RESERVED_CONNECTIONS,
-} from './limits.js';
+import {IDLE_CLOSE_MS, MAX_OPENING} from './limits.js';
 import {canPinConn} from './scheduler.js';
-import type {Conn, EndpointState, Job, Pool} from './state.js';
+import type {Conn, Job, Pool} from './state.js';
 import {createEndpointViews} from './views.js';
 import type {PoolView} from './views.js';
 
@@ -38,6 +35,14 @@
  */
 const MAX_DEMANDS = 64;
 
+/** Time after a refusal in which the endpoint may have no room to spare, in ms. */
+const REFUSING_MS = 5_000;
+/**
+ * Time until such an endpoint no longer counts a closed connection, in ms: the
+ * one that replaces it was refused if it was opened at once.
+ */
+const CLOSE_MS = 10;
+
 /** The connections of workspaces. */
 export interface WorkspaceConns {
   /** Opens connections for waiting statements. */
@@ -58,14 +63,6 @@
   );
 }
 
-/** Returns the connections that a pool may hold for statements. */
-function getWorkspaceLimit(pool: Pool, state: EndpointState): number {
-  return Math.max(
-    1,
-    getConnLimit(pool, state) - WORKSPACE_RESERVED_CONNECTIONS,
-  );
-}
-
 function findUse(conn: Conn): PlannedConn['use'] {
   if (!conn.isOpen) {
     return 'opening';
@@ -139,9 +136,7 @@
   onLost: OnConnLost,
 ): WorkspaceConns {
   const uses = createConnUses();
-  const report = createConnReport(pool, state =>
-    getWorkspaceLimit(pool, state),
-  );
+  const report = createConnReport(pool);
 
   const evict = (
     conn: Conn,
@@ -212,7 +207,7 @@
       return {
         id: view.id,
         isPrimary: view.isPrimary,
-        limit: getWorkspaceLimit(pool, state),
+        limit: getConnLimit(pool, state),
         maxOpening: mayOpen ? MAX_OPENING : 0,
         slots: getSlotLimit(state),
         running: view.running,
@@ -249,6 +244,10 @@
       }
       if (evicted !== null) {
         evictById(evicted, 'other_workspace', workspace);
+        if (state.refusal !== null && now < state.refusal.at + REFUSING_MS) {
+          pool.endpoints.update(endpoint, {reopenAt: now + CLOSE_MS});
+          continue;
+        }
       }
       openConn(pool, state, workspace, onLost, fault =>
         handleRefusal(endpoint, fault),
