--- a/packages/pooler/src/owner/capacity.ts
+++ b/packages/pooler/src/owner/capacity.ts
@@ -9,7 +9,7 @@
 import type {EndpointEntry} from '../model/directory.js';
 import type {RunMessage} from '../model/message.js';
 import type {EndpointReply} from '../model/statement.js';
-import {getSlotLimit} from './connections.js';
+import {getSlotLimit} from './conn_limit.js';
 import {SERVICE_SMOOTHING_FACTOR} from './limits.js';
 import type {Conn, EndpointState, Job, Pool} from './state.js';
 
