--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -126,6 +126,8 @@
   /** Lists the hosts that watch the table. */
   /** Restores the store from a copy that lacks the last `changes`. */
   readonly rollBack: (changes: number) => void;
+  /** Returns how many changes were made since the owner was another host. */
+  readonly countChangesByOwner: () => number;
   readonly listTableWatchers: () => readonly string[];
   /** Replaces the table in the store. */
   readonly setTable: (table: RouteTable) => void;
@@ -613,6 +615,13 @@
     receivedCalls,
     endpointWatchers,
     rollBack,
+    countChangesByOwner: () => {
+      const {host} = store.record?.ownership.owner ?? {};
+      const last = history.findLastIndex(
+        ({record}) => record?.ownership.owner.host !== host,
+      );
+      return history.length - Math.max(0, last);
+    },
     listTableWatchers: () =>
       [...new Set([...tableWatches].map(({name}) => name))].filter(
         name => get(name).isUp,
--- a/packages/pooler/src/__tests__/unit/ownership_model.test.ts
+++ b/packages/pooler/src/__tests__/unit/ownership_model.test.ts
@@ -181,6 +181,16 @@
   rollBack1: fleet => fleet.rollBack(1),
   rollBack2: fleet => fleet.rollBack(2),
   rollBack5: fleet => fleet.rollBack(5),
+  rollBackOwner: fleet => fleet.rollBack(fleet.countChangesByOwner()),
+  /** Nobody but the owner, which is cut off, knows who it is. */
+  forgetOwner: (fleet, name) => {
+    const owner = findOwner(fleet, name);
+    fleet.rollBack(fleet.countChangesByOwner());
+    fleet.cut(owner);
+    [...fleet.hosts.keys()]
+      .filter(other => other !== owner)
+      .forEach(other => bounce(fleet, other));
+  },
   rollBackAll: fleet => fleet.rollBack(Infinity),
   stepForward: (fleet, name) => {
     fleet.get(name).wallStepMs += CLOCK_STEP_MS;
@@ -264,6 +274,8 @@
     'rollBack2',
     'rollBack5',
     'rollBackAll',
+    'rollBackOwner',
+    'forgetOwner',
     'killOwner',
     'bounceOwner',
     'cutOwner',
