Let the late claim of the restored-store test reach its sender

Cause: the claim ended before the store executed it, so that the test did not reach the check that such a claim counts no lease.

Change: the call fails after 4 s instead of 2.5 s.

--- a/packages/pooler/src/__tests__/unit/store_era.test.ts
+++ b/packages/pooler/src/__tests__/unit/store_era.test.ts
@@ -229,7 +229,7 @@
   it('a claim that was sent before and is done after it counts no lease', async () => {
     fleet.kill(owner);
     [...fleet.hosts.keys()].forEach(name =>
-      fleet.disturbStore(name, {delayMs: 3_000, failMs: 2_500}),
+      fleet.disturbStore(name, {delayMs: 3_000, failMs: 4_000}),
     );
     await watchOwners(3_000);
     // The copy has the very revision that the claims are to replace.
