--- a/packages/pooler/src/__tests__/unit/queueing.test.ts
+++ b/packages/pooler/src/__tests__/unit/queueing.test.ts
@@ -15,11 +15,7 @@
   QueuedJob,
   QueueLoad,
 } from '../../decisions/admission.js';
-import {
-  createArrivalRates,
-  NO_WORK,
-  RATE_MS,
-} from '../../decisions/arrival_rates.js';
+import {createArrivalRates, NO_WORK} from '../../decisions/arrival_rates.js';
 import {
   createTurnQueue,
   DUE_SHARE,
@@ -67,7 +63,9 @@
 /** Rates of a rank whose arrivals keep `slots` in use. */
 function createRates(rank: number, slots: number, now: number) {
   const rates = createArrivalRates();
-  rates.add(rank, {primary: 0, any: slots * RATE_MS}, now);
+  for (let at = now - 20_000; at < now; at += 10) {
+    rates.add(rank, {primary: 0, any: slots * 10}, at);
+  }
   return rates;
 }
 
@@ -227,6 +225,23 @@
   });
 });
 
+describe('the rate of arriving work', () => {
+  it('is that of a flood within seconds, and ends soon after it', () => {
+    const rates = createRates(1, 18, 0);
+    expect(rates.read(1, 0).any).toBeGreaterThan(17);
+    expect(rates.readMoreUrgent(2, 0).any).toBeGreaterThan(17);
+    expect(rates.readMoreUrgent(1, 0).any).toBe(0);
+    expect(rates.read(1, 2_000).any).toBeLessThan(3);
+  });
+
+  it('takes no burst for a flood', () => {
+    // Guards against refusing late work that a calm queue could still serve.
+    const rates = createArrivalRates();
+    rates.add(1, {primary: 0, any: 6_000}, 0);
+    expect(rates.read(1, 0).any).toBe(2);
+  });
+});
+
 describe('the expected wait', () => {
   const ahead = (primary: number, any: number) => ({
     total: {primary, any},
--- a/packages/pooler/src/decisions/admission.ts
+++ b/packages/pooler/src/decisions/admission.ts
@@ -57,13 +57,15 @@
  * Share of the time until its target that a statement may be expected to need:
  * the rest is for the estimate's error. Tuned with the overload replay.
  */
-export const TARGET_SHARE = 0.7;
+const TARGET_SHARE = 0.7;
 /**
  * Share of the time until its deadline that a statement which will miss its
- * target may be expected to wait. At 0.45 the replay served hardly more, and
- * refused more than twice as many after holding them.
+ * target may be expected to wait, without arrivals that go before it and while
+ * they fill all slots. At 0.45 under full load the replay served hardly more,
+ * and refused more than twice as many after holding them.
  */
-export const DEADLINE_SHARE = 0.3;
+const DEADLINE_SHARE_CALM = 0.6;
+const DEADLINE_SHARE_FULL = 0.3;
 /**
  * Share of its time after which a statement is refused unless it is expected to
  * be sent early: from HELD_SHARE on, a refusal would cost its caller the most.
@@ -138,6 +140,8 @@
   readonly isInTime: boolean;
   /** Whether no endpoint can run it for now. */
   readonly isOutage: boolean;
+  /** Share of the slots that arrivals before it use, from 0 to 1. */
+  readonly takenShare: number;
 }
 
 function forecast(
@@ -151,12 +155,13 @@
   const isInTime = waitMs <= (job.targetAt - now) * TARGET_SHARE - expectedMs;
   const isOutage = !hasSlots(needsPrimary, capacity);
   if (isInTime || isOutage) {
-    return {waitMs, isInTime, isOutage};
+    return {waitMs, isInTime, isOutage, takenShare: 0};
   }
   // Statements that arrive later go before one that is late.
   const taken = addWork(urgent, rates.read(priority, now));
   const lateMs = estimateWaitMs(needsPrimary, ahead, capacity, taken);
-  return {waitMs: lateMs, isInTime, isOutage};
+  const takenShare = Math.min(1, (taken.primary + taken.any) / capacity.all);
+  return {waitMs: lateMs, isInTime, isOutage, takenShare};
 }
 
 /**
@@ -224,9 +229,12 @@
   random: number,
 ): Refusal | null {
   const ahead = sumWorkAhead(job, waiting, load);
-  const {waitMs, isInTime, isOutage} = forecast(job, ahead, load);
+  const {waitMs, isInTime, isOutage, takenShare} = forecast(job, ahead, load);
   const leftMs = job.deadline - load.now;
-  const maxWaitMs = isOutage ? leftMs : leftMs * DEADLINE_SHARE;
+  const share =
+    DEADLINE_SHARE_CALM -
+    (DEADLINE_SHARE_CALM - DEADLINE_SHARE_FULL) * takenShare;
+  const maxWaitMs = isOutage ? leftMs : leftMs * share;
   if (isInTime || waitMs <= maxWaitMs) {
     return null;
   }
--- a/packages/pooler/src/decisions/arrival_rates.ts
+++ b/packages/pooler/src/decisions/arrival_rates.ts
@@ -27,8 +27,12 @@
   return needsPrimary ? {primary: ms, any: 0} : {primary: 0, any: ms};
 }
 
-/** Time constant of the decay of the rates, in ms. */
-export const RATE_MS = 1_000;
+/**
+ * Time constants of the decay of two rates, in ms. The lower one is used: the
+ * first ends soon after a flood, the second does not take a burst for one.
+ */
+const RATE_MS = 1_000;
+const SUSTAINED_RATE_MS = 3_000;
 
 /** The recent arrivals of work at a pool. */
 export interface ArrivalRates {
@@ -39,27 +43,59 @@
   readonly readMoreUrgent: (rank: number, now: Instant) => Work;
 }
 
+interface DecayedSums {
+  readonly recent: Work;
+  readonly sustained: Work;
+  readonly at: Instant;
+}
+
+function scaleWork({primary, any}: Work, factor: number): Work {
+  return {primary: primary * factor, any: any * factor};
+}
+
+function decay(sums: DecayedSums, now: Instant): DecayedSums {
+  const ageMs = now - sums.at;
+  return {
+    recent: scaleWork(sums.recent, Math.exp(-ageMs / RATE_MS)),
+    sustained: scaleWork(sums.sustained, Math.exp(-ageMs / SUSTAINED_RATE_MS)),
+    at: now,
+  };
+}
+
 /** Creates the record of a pool without arrivals. */
 export function createArrivalRates(): ArrivalRates {
-  const sums = new Map<number, {work: Work; at: Instant}>();
+  const ranks = new Map<number, DecayedSums>();
   const read = (rank: number, now: Instant): Work => {
-    const sum = sums.get(rank);
-    if (sum === undefined) {
+    const sums = ranks.get(rank);
+    if (sums === undefined) {
       return NO_WORK;
     }
-    const factor = Math.exp(-(now - sum.at) / RATE_MS) / RATE_MS;
-    return {primary: sum.work.primary * factor, any: sum.work.any * factor};
+    const {recent, sustained} = decay(sums, now);
+    return {
+      primary: Math.min(
+        recent.primary / RATE_MS,
+        sustained.primary / SUSTAINED_RATE_MS,
+      ),
+      any: Math.min(recent.any / RATE_MS, sustained.any / SUSTAINED_RATE_MS),
+    };
   };
   return {
     add: (rank, work, now) => {
-      const {primary, any} = read(rank, now);
-      const before = {primary: primary * RATE_MS, any: any * RATE_MS};
-      sums.set(rank, {work: addWork(before, work), at: now});
+      const before = ranks.get(rank);
+      const {recent, sustained} =
+        before === undefined
+          ? {recent: NO_WORK, sustained: NO_WORK}
+          : decay(before, now);
+      ranks.set(rank, {
+        recent: addWork(recent, work),
+        sustained: addWork(sustained, work),
+        at: now,
+      });
     },
     read,
     readMoreUrgent: (rank, now) => {
       let sum = NO_WORK;
-      for (const other of sums.keys()) {
+      for (const other of ranks.keys()) {
         if (other < rank) {
           sum = addWork(sum, read(other, now));
         }
--- a/packages/telemetry/src/__tests__/unit/explain.test.ts
+++ b/packages/telemetry/src/__tests__/unit/explain.test.ts
@@ -50,7 +50,9 @@
 stamp=1784122624302.000001 level=debug host=d-1 seq=3 event=job_started request=b-1-x-7 caller_request=a252ad60 group=g1 endpoint=g1-a attempt=1 tx=null rank="1" consistency=session min_term=1 min_index=181 primary=g1-a term=1 waited_ms=2 left_ms=798 generation=4
 stamp=1784122625100.000002 level=info host=d-1 seq=4 event=job_ended request=b-1-x-7 caller_request=a252ad60 group=g1 endpoint=null tx=null outcome=refused reason=too_late attempts=1 took_ms=798 left_ms=2 generation=4
 stamp=1784122625101.000000 level=info host=b-1 seq=7 event=request_not_run request=b-1-x-7 caller_request=a252ad60 service=g1 kind=shop rank="1" outcome=not_run reason=too_late tx=null owner=d-1 attempts=1 table_version=22 latency_ms=801 is_in_time=false
-stamp=1784122625102.000000 level=info host=b-1 seq=8 event=request_not_run request=b-1-x-8 caller_request=a252ad61 service=g1 kind=shop rank="1" outcome=not_run reason=no_owner tx=null owner=null attempts=0 table_version=22 latency_ms=0 is_in_time=false`;
+stamp=1784122625102.000000 level=info host=b-1 seq=8 event=request_not_run request=b-1-x-8 caller_request=a252ad61 service=g1 kind=shop rank="1" outcome=not_run reason=no_owner tx=null owner=null attempts=0 table_version=22 latency_ms=0 is_in_time=false
+stamp=1784122625200.000000 level=debug host=d-1 seq=5 event=job_refused request=b-1-x-9 caller_request=a252ad62 group=g1 rank="2" workspace=null reason=overtaken expected_wait_ms=1900 retry_after_ms=840 held_ms=120 left_ms=1700 generation=4
+stamp=1784122625201.000000 level=info host=b-1 seq=9 event=request_not_run request=b-1-x-9 caller_request=a252ad62 service=g1 kind=shop rank="2" outcome=not_run reason=overtaken tx=null owner=d-1 attempts=1 table_version=22 latency_ms=122 is_in_time=false`;
 
 describe('explainRequest of a pool with one owner', () => {
   const events = POOL_LINES.split('\n')
@@ -73,4 +75,11 @@
     expect(story[0]).toContain('with no reachable owner');
     expect(remedy).toContain('owner_changed');
   });
+
+  it('tells the expected wait by which a statement was refused', () => {
+    const {story, remedy} = explainRequest(events, 'b-1-x-9')!;
+    expect(story[0]).toContain('after 120 ms in the queue');
+    expect(story[0]).toContain('expected after 1900 ms, and 1700 ms were left');
+    expect(remedy).toContain('More urgent work');
+  });
 });
--- a/packages/telemetry/src/explain_pool.ts
+++ b/packages/telemetry/src/explain_pool.ts
@@ -41,6 +41,20 @@
   );
 }
 
+function describeRefused(fields: Fields): string | null {
+  if (!('generation' in fields)) {
+    return null;
+  }
+  const wait =
+    fields['expected_wait_ms'] == null
+      ? 'no slot was expected for it'
+      : `a slot was expected after ${formatField(fields, 'expected_wait_ms')} ms`;
+  return (
+    `refused it as ${formatField(fields, 'reason')} after ${formatField(fields, 'held_ms')} ms in the queue, rank ${formatField(fields, 'rank')}: ${wait}, ` +
+    `and ${formatField(fields, 'left_ms')} ms were left; its caller was to return after ${formatField(fields, 'retry_after_ms')} ms.`
+  );
+}
+
 function describeAnswered(fields: Fields): string | null {
   if (!('table_version' in fields)) {
     return null;
@@ -61,6 +75,7 @@
   job_started: describeStarted,
   job_done: fields => ('generation' in fields ? describeEnded(fields) : null),
   job_ended: describeEnded,
+  job_refused: describeRefused,
   request_done: describeAnswered,
   request_failed: describeAnswered,
   request_not_run: describeAnswered,
@@ -71,6 +86,8 @@
 export const POOL_REMEDIES: Readonly<Record<string, string>> = {
   no_owner:
     "The host that owns the group's pool was down or unreachable: see owner_changed and link_down around that time; another entry host, or the same one once an owner is known, would have served it.",
+  overtaken:
+    'More urgent work that came after it left it no slot in time: fewer urgent callers, a higher rank or more slots would have let it run.',
   no_endpoint:
     'It was tried at several endpoints without an answer: an endpoint that answers would have run it.',
   no_replica:
