--- a/packages/pooler/src/decisions/admission.ts
+++ b/packages/pooler/src/decisions/admission.ts
@@ -183,7 +183,7 @@
 }
 
 /** Returns the work that runs before a statement that arrives now. */
-export function sumWorkAhead(
+function sumWorkAhead(
   job: QueuedJob,
   waiting: readonly QueuedJob[],
   {isOverShare, now}: QueueLoad,
--- a/packages/pooler/src/decisions/slot_use.ts
+++ b/packages/pooler/src/decisions/slot_use.ts
@@ -15,12 +15,12 @@
 /** Time constant of the decay of recent use, in ms. */
 export const RECENT_MS = 1_000;
 /** Time constant of the decay by which the usual use is known, in ms. */
-export const USUAL_MS = 30_000;
+const USUAL_MS = 30_000;
 /**
  * Multiple of its share that a workspace may use: arrivals of a steady rate
  * differ by about a third from one second to the next at 10 a second.
  */
-export const SHARE_TOLERANCE = 1.5;
+const SHARE_TOLERANCE = 1.5;
 /** Interval at which shares are computed anew, in ms. */
 const UPDATE_MS = 10;
 /** Use below which a workspace is forgotten, in ms of slot time. */
--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -301,8 +301,9 @@
         refuseAccess(caller);
         return;
       }
-      const fault = req.tx === null ? 'busy' : 'aborted';
-      const text = describeFault(fault, reason, req.id, retryAfterMs);
+      const isBusyFault = req.tx === null || reason === 'over_allowance';
+      const fault = isBusyFault ? 'busy' : 'aborted';
+      const text = describeFault(fault, reason, req.id, retryAfterMs ?? null);
       finishWithFault(req, fault, text);
     },
     failed: (req, {fault, text}) => finishWithFault(req, fault, text),
--- a/packages/pooler/src/entry/fault_texts.ts
+++ b/packages/pooler/src/entry/fault_texts.ts
@@ -18,17 +18,22 @@
     'it exceeded its time limit; check whether it took effect before you retry it',
 };
 
+/** Text for an operation above the rate limit of its workspace. */
+const OVER_ALLOWANCE_TEXT =
+  'the rate limit of the workspace is used up; not run, nothing was kept; retry the operation from its start';
+
 /**
- * Returns the text of an error with its reason, the id of the request, and
- * after how many ms the caller should return, if that is known.
+ * Returns the text of an error with its reason and the id of the request, and
+ * the time after which the caller should try again, if it is known.
  */
 export function describeFault(
   fault: CallerFault,
   reason: string,
   request: string,
-  retryAfterMs?: number,
+  retryAfterMs: number | null = null,
 ): string {
-  const wait =
-    retryAfterMs === undefined ? '' : `, retry after ${retryAfterMs} ms`;
-  return `${FAULT_TEXTS[fault] ?? fault} (${reason}, request ${request}${wait})`;
+  const wait = retryAfterMs === null ? '' : ` in ${retryAfterMs} ms`;
+  const cause =
+    reason === 'over_allowance' ? OVER_ALLOWANCE_TEXT : FAULT_TEXTS[fault];
+  return `${cause ?? fault}${wait} (${reason}, request ${request})`;
 }
--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -69,7 +69,10 @@
     signature: isString,
     position: orNull(isPosition),
   }),
-  refused: fields({reason: isString, retryAfterMs: optional(isNumber)}),
+  refused: fields({
+    reason: isString,
+    retryAfterMs: optional(orNull(isNumber)),
+  }),
   failed: fields({fault: oneOf('failed', 'timed_out'), text: isString}),
   unknown: fields({reason: isString}),
 });
--- a/packages/pooler/src/model/result.ts
+++ b/packages/pooler/src/model/result.ts
@@ -35,8 +35,8 @@
   | {
       readonly type: 'refused';
       readonly reason: RefusalReason;
-      /** After how many ms the caller should return; absent if unknown. */
-      readonly retryAfterMs?: number;
+      /** Time after which the caller should try again, in ms, if known. */
+      readonly retryAfterMs?: number | null;
     }
   /** Run, and ended by an error from the endpoint. */
   | {
