--- a/packages/pooler/src/__tests__/unit/capacity_replay.test.ts
+++ b/packages/pooler/src/__tests__/unit/capacity_replay.test.ts
@@ -146,7 +146,7 @@
         isLearning
           ? {
               serviceMs: times.expectMs(getWorkKind(read!.kind.name, 'read')),
-              waiting: waiting.length,
+              countWaiting: () => waiting.length,
               waitedMs: at - read!.arrivedAt,
             }
           : undefined,
--- a/packages/pooler/src/__tests__/unit/decisions.test.ts
+++ b/packages/pooler/src/__tests__/unit/decisions.test.ts
@@ -216,7 +216,7 @@
     expect(chooseForRead(views, {...need, avoided: ['c']}, 1_000)).toBeNull();
   });
 
-  const work = {serviceMs: 12, waiting: 1, waitedMs: 0};
+  const work = {serviceMs: 12, countWaiting: () => 1, waitedMs: 0};
 
   // Guards against reads at an endpoint that takes several times as long.
   it('prefers a quicker endpoint though it is busier', () => {
@@ -231,7 +231,7 @@
   it('waits for a quicker endpoint while that is sooner', () => {
     const views = [view({id: 'slow', factor: 5}), view({id: 'a', running: 3})];
     expect(chooseForRead(views, need, 1_000, work)).toBeNull();
-    const backlog = {...work, waiting: 20};
+    const backlog = {...work, countWaiting: () => 20};
     expect(chooseForRead(views, need, 1_000, backlog)).toBe('slow');
     const held = {...work, waitedMs: 60};
     expect(chooseForRead(views, need, 1_000, held)).toBe('slow');
--- a/packages/pooler/src/decisions/concurrency_curve.ts
+++ b/packages/pooler/src/decisions/concurrency_curve.ts
@@ -85,6 +85,34 @@
   return gain < -MIN_ERRORS * error;
 }
 
+/** The numbers of statements that a curve shows to be too many. */
+interface Excess {
+  /** The lowest of them; Infinity if there is none. */
+  readonly from: number;
+  /** When one of them was last measured. */
+  readonly at: Instant;
+}
+
+/** Each curve is read several times between two completions. */
+const excesses = new WeakMap<ConcurrencyCurve, Excess>();
+
+function findExcess(curve: ConcurrencyCurve): Excess {
+  const known = excesses.get(curve);
+  if (known !== undefined) {
+    return known;
+  }
+  const points = [...curve].filter(([, {samples}]) => samples >= MIN_SAMPLES);
+  const bad = points.filter(([higher, b]) =>
+    points.some(([lower, a]) => lower < higher && isWorse(lower, a, higher, b)),
+  );
+  const excess = {
+    from: Math.min(...bad.map(([count]) => count)),
+    at: Math.max(...bad.map(([, {at}]) => at)),
+  };
+  excesses.set(curve, excess);
+  return excess;
+}
+
 /**
  * Returns how many statements an endpoint runs well at once, from 1 to `slots`.
  * Numbers that were not measured count as good. One that was measured as bad is
@@ -95,20 +123,10 @@
   slots: number,
   now: Instant,
 ): number {
-  const points = [...curve]
-    .filter(([, {samples}]) => samples >= MIN_SAMPLES)
-    .sort(([a], [b]) => a - b);
-  let limit = slots;
-  let badAt = -Infinity;
-  for (const [higher, b] of points) {
-    const isBad = points.some(
-      ([lower, a]) => lower < higher && isWorse(lower, a, higher, b),
-    );
-    if (isBad) {
-      limit = Math.min(limit, higher - 1);
-      badAt = Math.max(badAt, b.at);
-    }
+  const {from, at} = findExcess(curve);
+  if (from > slots) {
+    return slots;
   }
-  const retried = Math.floor(Math.max(0, now - badAt) / RETRY_MS);
-  return Math.max(1, Math.min(slots, limit + retried));
+  const retried = Math.floor(Math.max(0, now - at) / RETRY_MS);
+  return Math.max(1, Math.min(slots, from - 1 + retried));
 }
--- a/packages/pooler/src/decisions/placement.ts
+++ b/packages/pooler/src/decisions/placement.ts
@@ -36,8 +36,8 @@
 export interface Work {
   /** Expected service time at an endpoint of normal speed, in ms. */
   readonly serviceMs: number;
-  /** Reads that wait for a slot, including this one. */
-  readonly waiting: number;
+  /** Counts the reads that wait for a slot, including this one. */
+  readonly countWaiting: () => number;
   /** How long this one has waited, in ms. */
   readonly waitedMs: number;
 }
@@ -158,11 +158,11 @@
   if (best.factor < MIN_SLOW_FACTOR) {
     return false;
   }
+  const waiting = work.countWaiting();
   const waitMs = full.map(view => {
     const turnMs = (work.serviceMs * view.factor) / view.limit;
     return (
-      computeCompletionMs(view, views, work) +
-      BACKLOG_WEIGHT * turnMs * work.waiting
+      computeCompletionMs(view, views, work) + BACKLOG_WEIGHT * turnMs * waiting
     );
   });
   const gainMs = computeCompletionMs(best, views, work) - Math.min(...waitMs);
@@ -170,7 +170,11 @@
 }
 
 /** The work of a read about which nothing is known. */
-const UNKNOWN_WORK: Work = {serviceMs: 1, waiting: 0, waitedMs: Infinity};
+const UNKNOWN_WORK: Work = {
+  serviceMs: 1,
+  countWaiting: () => 0,
+  waitedMs: Infinity,
+};
 
 /**
  * Chooses the endpoint for a read: the one that is expected to complete it first
--- a/packages/pooler/src/decisions/service_times.ts
+++ b/packages/pooler/src/decisions/service_times.ts
@@ -146,12 +146,19 @@
   const kinds = new Map<WorkKind, KindTime>();
   const speeds = new Map<EndpointId, Speed>();
   let latestAt = -Infinity;
+  /** The normal factor; null until it is computed after a completion. */
+  let normal: number | null = null;
 
   /**
    * Returns the normal factor: the median, and the faster one of two. A minority
    * of slow endpoints does not change it.
    */
   const readNormal = (): number => {
+    normal ??= computeNormal();
+    return normal;
+  };
+
+  const computeNormal = (): number => {
     const measured = [...speeds.values()].filter(
       ({samples}) => samples >= MIN_FACTOR_SAMPLES,
     );
@@ -210,6 +217,7 @@
       forgetIdle(at);
     }
     latestAt = Math.max(latestAt, at);
+    normal = null;
     const curve = before?.curve ?? createCurve();
     const showsSpeed =
       sample.showsSpeed &&
--- a/packages/pooler/src/owner/views.ts
+++ b/packages/pooler/src/owner/views.ts
@@ -62,12 +62,13 @@
 
 /** Returns what placement has to know about the work of a read. */
 export function describeWork(pool: Pool, job: Job): Work {
-  const waiting = pool.jobs
-    .list()
-    .filter(({phase, msg}) => phase === 'waiting' && isReadOnly(msg));
   return {
     serviceMs: pool.capacity.times.expectMs(getWorkKindOf(job.msg)),
-    waiting: waiting.length,
+    countWaiting: () =>
+      pool.jobs
+        .list()
+        .filter(({phase, msg}) => phase === 'waiting' && isReadOnly(msg))
+        .length,
     waitedMs: pool.now() - job.receivedAt,
   };
 }
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -196,7 +196,7 @@
     'Service time at an endpoint relative to the normal one, as last logged.',
   );
   const limits = define(
-    'lacewingroad_endpoint_concurrency_limit',
+    'lacewingroad_endpoint_limit',
     'Statements that an endpoint runs well concurrently, as last logged.',
   );
   return fields => {
