Replay only at events, and let the failing endpoint get reads

The pool test of an endpoint that fails at once passed also when failures were recorded as samples, because hardly any read reached it; it now sends more than the other endpoints can run, and fails in that case.

--- a/packages/pooler/src/__tests__/unit/capacity_replay.test.ts
+++ b/packages/pooler/src/__tests__/unit/capacity_replay.test.ts
@@ -86,6 +86,8 @@
 
 const ENDPOINTS = [0, 1, 2];
 const STEP_MS = 0.25;
+/** Interval at which the pool looks at its queue without an event. */
+const TICK_MS = 20;
 
 function drawArrivals({deployment, load, seconds, seed}: Scenario): Read[] {
   const random = createRandom(seed);
@@ -110,6 +112,7 @@
   const times = createServiceTimes();
   const arrivals = drawArrivals(scenario);
   const total = arrivals.length;
+  let hasChanged = false;
   const waiting: Read[] = [];
   const running: Running[][] = ENDPOINTS.map(() => []);
   const done: {read: Read; tookMs: number}[] = [];
@@ -167,6 +170,7 @@
     served.forEach(item => (item.leftMs -= STEP_MS * speed));
     const finished = served.filter(({leftMs}) => leftMs <= 0);
     running[endpoint] = all.filter(item => !finished.includes(item));
+    hasChanged ||= finished.length > 0;
     finished.forEach(({read, sentAt}, index) => {
       const delayMs = getDelay(endpoint);
       done.push({read, tookMs: at + delayMs - read.arrivedAt});
@@ -185,8 +189,12 @@
   for (let at = 0; done.length < total; at += STEP_MS) {
     while (arrivals.length > 0 && arrivals[0]!.arrivedAt <= at) {
       waiting.push(arrivals.shift()!);
+      hasChanged = true;
+    }
+    if (hasChanged || at % TICK_MS === 0) {
+      hasChanged = false;
+      start(at);
     }
-    start(at);
     ENDPOINTS.forEach(endpoint => work(endpoint, at));
   }
 
--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -1235,10 +1235,11 @@
   /** Sends reads at a steady rate; returns how many each endpoint ran. */
   async function sendReads(
     seconds: number,
+    perStep = 1,
   ): Promise<Readonly<Record<string, number>>> {
     const before = group.ran.length;
     for (let sent = 0; sent < seconds * 100; sent++) {
-      send();
+      Array.from({length: perStep}, () => send());
       await advanceTime(10);
     }
     const counts: Record<string, number> = {};
@@ -1273,7 +1274,8 @@
     const failing = group.get('ledger-3');
     failing.executionMs = 1;
     failing.failEveryNth = 1;
-    await sendReads(3);
+    // More than the others can run, so that it gets reads despite its failures.
+    await sendReads(3, 5);
     expect(capacities.filter(({endpoint}) => endpoint === 'ledger-3')).toEqual(
       [],
     );
