--- a/packages/pooler/src/decisions/allowance_homes.ts
+++ b/packages/pooler/src/decisions/allowance_homes.ts
@@ -28,7 +28,7 @@
 }
 
 /** Home groups of a workspace: more would make shares of a burst too small. */
-export const MAX_HOMES = 8;
+const MAX_HOMES = 8;
 /** Part of the slack that new owners start with. */
 const INITIAL_SLACK_SHARE = 0.5;
 /**
--- a/packages/pooler/src/decisions/store_era.ts
+++ b/packages/pooler/src/decisions/store_era.ts
@@ -15,7 +15,7 @@
 import type {ObservedRecord} from './lease.js';
 
 /** Revisions in one era; 2^17 eras stay below the largest safe integer. */
-export const ERA_SPAN = 2 ** 36;
+const ERA_SPAN = 2 ** 36;
 
 /** Returns a revision that includes its era. */
 export function joinRevision(era: number, storeRevision: number): number {
--- a/packages/pooler/src/owner/allowance_book.ts
+++ b/packages/pooler/src/owner/allowance_book.ts
@@ -29,7 +29,7 @@
 /** What a token is taken for: to wait in a queue, or to reach an endpoint. */
 export type Stage = 'admission' | 'start';
 
-export const STAGES: readonly Stage[] = ['admission', 'start'];
+const STAGES: readonly Stage[] = ['admission', 'start'];
 
 /** A bucket and the rate at which it is used. */
 export interface Ledger {
