--- a/packages/pooler/src/table/table_feed.ts
+++ b/packages/pooler/src/table/table_feed.ts
@@ -29,7 +29,7 @@
  * Time for a fetched table to arrive, in ms, before it is fetched again: a relay
  * sends it to one host after the other.
  */
-const FETCH_TIMEOUT_MS = 1_500;
+const FETCH_TIMEOUT_MS = 3_000;
 
 /** Dependencies of the feed. */
 export interface TableFeedConfig {
@@ -243,6 +243,7 @@
         return;
       }
       linkedHosts.delete(host);
+      sender.release(host);
       unreachableSince.set(host, runtime.now());
     },
     handleAsk: (host, {ask: id, version, isFetch}) => {
@@ -250,6 +251,9 @@
       updateSource();
       const isNewer =
         table !== null && (version === null || table.version > version);
+      if (!isNewer) {
+        sender.release(host);
+      }
       // A host of an earlier version fetches by each ask, and would take an age
       // without a table as proof that its own one is current.
       const isProof = !isNewer || isFetch !== undefined;
@@ -272,6 +276,8 @@
           return;
         }
         apply(next);
+        // Confirms the transfer, so that the relay begins the next one.
+        ask(host, false);
       }
       const isBehind =
         typeof version === 'number' && version > (table?.version ?? -Infinity);
