--- a/packages/pooler/src/decisions/allowance_wait.ts
+++ b/packages/pooler/src/decisions/allowance_wait.ts
@@ -7,10 +7,11 @@
 import type {Instant} from '@lacewingroad/runtime';
 
 /**
- * Part of its remaining target time that an operation may wait for a token: one
- * refused after a longer wait counts as lost for its caller.
+ * Part of its remaining target time that an operation may wait for a token: a
+ * refusal must reach the caller within a quarter of it, over the network and
+ * after the review of the queue.
  */
-const MAX_WAIT_SHARE = 0.25;
+const MAX_WAIT_SHARE = 0.2;
 /** Longest time that a refused caller is told to wait, in ms. */
 const MAX_RETRY_MS = 5_000;
 
--- a/packages/pooler/src/decisions/client_budget.ts
+++ b/packages/pooler/src/decisions/client_budget.ts
@@ -42,7 +42,8 @@
 
 /** Defaults of the limits that do not follow from the size of a host. */
 const DEFAULTS = {
-  sessionBytes: 2 * MIB,
+  // A session may keep 1.2 MB while a line of 1 MiB arrives.
+  sessionBytes: 3 * MIB,
   connectMs: 10_000,
   partialLineMs: 30_000,
   pressureMs: 1_000,
@@ -287,25 +288,30 @@
   /**
    * Returns the session that makes room for another one: one that does not
    * complete its CONNECT, one that does not complete a line, the session that
-   * has been idle longest, or null if all are in use.
+   * has been idle longest, the oldest without a CONNECT, or null if all are in
+   * use.
    */
   const findReplaceable = (now: Instant): ClientUse | null => {
-    const [oldest] = unopened;
-    if (oldest !== undefined) {
+    const oldest: ClientUse | null = [...unopened][0] ?? null;
+    // The CONNECT of a connection that has just been accepted is on its way.
+    if (oldest !== null && now - oldest.acceptedAt >= IDLE_MS) {
       return oldest;
     }
     const stuck = findGreatest(unfinished, use => now - use.partialSince!);
     if (stuck !== null && now - stuck.partialSince! >= IDLE_MS) {
       return stuck;
     }
-    return findGreatest(
+    const idle = findGreatest(
       [...uses.values()].filter(
         use =>
+          use.isOpen &&
           use.statements.length === 0 &&
+          use.unsentBytes === 0 &&
           now - use.usedAt >= (use.isInTx ? IDLE_TX_MS : IDLE_MS),
       ),
       use => now - use.usedAt,
     );
+    return idle ?? oldest;
   };
 
   return {
--- a/packages/pooler/src/decisions/connection_plan.ts
+++ b/packages/pooler/src/decisions/connection_plan.ts
@@ -75,6 +75,8 @@
   total: number;
   opening: number;
   assigned: number;
+  /** The needs that were computed, by workspace; dropped when one changes. */
+  readonly needs: Map<WorkspaceId | null, number>;
 }
 
 /**
@@ -112,6 +114,7 @@
     endpoint,
     tallies: new Map(),
     evicted: new Set(),
+    needs: new Map(),
     total: endpoint.conns.length,
     opening: 0,
     assigned: 0,
@@ -150,7 +153,7 @@
 ): PlannedConn | null {
   let best: PlannedConn | null = null;
   let bestNeed = needed;
-  const needs = new Map<WorkspaceId | null, number>();
+  const {needs} = site;
   for (const conn of site.endpoint.conns) {
     const {workspace} = conn;
     if (conn.use !== 'free' || site.evicted.has(conn.id)) {
@@ -178,6 +181,7 @@
 function evict(site: Site, conn: PlannedConn): void {
   site.evicted.add(conn.id);
   site.total--;
+  site.needs.delete(conn.workspace);
   readTally(site, conn.workspace).free--;
 }
 
@@ -194,14 +198,19 @@
   readonly opening: Opening | null;
 }
 
+/** Returns whether another connection may be opened at an endpoint now. */
+function mayOpen({endpoint, opening}: Site): boolean {
+  return opening < endpoint.maxOpening;
+}
+
 /** Returns how a connection can be opened for a workspace, or null. */
 function findOpening(
   site: Site,
   workspace: WorkspaceId | null,
 ): Opening | null {
-  const {endpoint, opening, total} = site;
+  const {endpoint, total} = site;
   const held = countUnpinned(readTally(site, workspace));
-  if (opening >= endpoint.maxOpening || held >= endpoint.slots) {
+  if (!mayOpen(site) || held >= endpoint.slots) {
     return null;
   }
   if (total < endpoint.limit) {
@@ -279,7 +288,11 @@
       planned.push({endpoint, workspace, evicted: victim?.id ?? null});
       site.total++;
       site.opening++;
+      site.needs.delete(workspace);
       readTally(site, workspace).opening++;
+      if (![...sites.values()].some(mayOpen)) {
+        break;
+      }
     }
     readTally(site, workspace).assigned++;
     site.assigned += opening === null ? 1 : 0;
--- a/packages/pooler/src/decisions/store_era.ts
+++ b/packages/pooler/src/decisions/store_era.ts
@@ -14,8 +14,11 @@
 import {computeAbandonedTime} from './lease.js';
 import type {ObservedRecord} from './lease.js';
 
-/** Revisions in one era; 2^17 eras stay below the largest safe integer. */
-const ERA_SPAN = 2 ** 36;
+/**
+ * Revisions in one era: more than Unix time in ms, from which a store may count.
+ * 2^11 eras stay below the largest safe integer.
+ */
+const ERA_SPAN = 2 ** 42;
 
 /** Returns a revision that includes its era. */
 export function joinRevision(era: number, storeRevision: number): number {
--- a/packages/pooler/src/entry/fault_texts.ts
+++ b/packages/pooler/src/entry/fault_texts.ts
@@ -9,7 +9,7 @@
   bad_request:
     'invalid statement, or not allowed in this state; end any open transaction first',
   not_prepared: 'no such prepared statement; prepare it first',
-  busy: 'not run, nothing was kept; retry it',
+  busy: 'nothing was kept; retry it',
   aborted:
     'rolled back, nothing was kept; retry the transaction from its start',
   unknown: 'outcome unknown; check whether it took effect before you retry it',
--- a/packages/pooler/src/model/message.ts
+++ b/packages/pooler/src/model/message.ts
@@ -112,7 +112,7 @@
   readonly version: number | null;
   /**
    * Whether the table is to be sent. Missing in the messages of hosts of earlier
-   * versions, which get any newer table at once.
+   * versions, which cannot read it.
    */
   readonly isFetch?: boolean | undefined;
 }
--- a/packages/pooler/src/owner/allowance_gate.ts
+++ b/packages/pooler/src/owner/allowance_gate.ts
@@ -92,6 +92,8 @@
 const LIMIT_END_MS = 2_000;
 /** Interval at which the end of a limitation is looked for, in ms. */
 const LIMIT_CHECK_MS = 1_000;
+/** Part of an operation's target time for which it may wait to start. */
+const MAX_BACKLOG_SHARE = 0.5;
 /** Part of the next second's use that must be at hand, or others are asked. */
 const RESERVE_MS = 400;
 
@@ -262,6 +264,20 @@
     scheduleGrants();
   };
 
+  /**
+   * Returns whether the operations that were admitted and have not started, as
+   * after a change of primary, use up the tokens to start for too long.
+   */
+  const isBacklogTooLong = (
+    allowance: Allowance,
+    {targetAt}: GatedOperation,
+  ): boolean => {
+    const tokens = countTokens(allowance.ledgers.start.bucket);
+    const missing = allowance.admitted - tokens;
+    const waitMs = expectTokensMs(missing, readTokenRate(allowance));
+    return waitMs > (targetAt - runtime.now()) * MAX_BACKLOG_SHARE;
+  };
+
   const countAhead = ({workspace, rank}: GatedOperation): number =>
     (queues.get(workspace) ?? []).filter(
       ({operation}) => operation.rank <= rank,
@@ -278,6 +294,9 @@
       const ledger = allowance.ledgers.admission;
       ledger.demand = addDemand(ledger.demand, now);
       const ahead = countAhead(operation);
+      if (operation.isOwnerActive && isBacklogTooLong(allowance, operation)) {
+        return {type: 'refused', retryAfterMs: refuse(workspace)};
+      }
       if (ahead === 0 && hasToken(ledger.bucket)) {
         takeForAdmission(allowance);
         const giveUpAt = Infinity;
--- a/packages/pooler/src/owner/group_pool.ts
+++ b/packages/pooler/src/owner/group_pool.ts
@@ -354,7 +354,7 @@
       pool.jobs
         .list()
         .filter(({msg, phase}) => msg.tx?.id === id && phase === 'waiting')
-        .forEach(job => pool.jobs.remove(job.msg.request));
+        .forEach(job => endJob(pool, job, refused('tx_gone')));
       const tx = pool.txs.get(id);
       if (tx?.host === host) {
         rollBackTx(pool, tx);
--- a/packages/pooler/src/owner/jobs.ts
+++ b/packages/pooler/src/owner/jobs.ts
@@ -550,6 +550,8 @@
     releaseConn(pool, conn);
     pool.jobs.update(job.msg.request, {
       msg: {...job.msg, tx: {...tx, isFirst: false}},
+      // It holds a connection from now on, which must not wait behind new work.
+      isInTx: true,
     });
     requeueJob(pool, job, job.avoided);
     return;
--- a/packages/pooler/src/owner/workspace_conns.ts
+++ b/packages/pooler/src/owner/workspace_conns.ts
@@ -34,6 +34,11 @@
  * connection takes.
  */
 const MAX_DEMANDS = 64;
+/**
+ * Minimum time between two plans, in ms: a plan for a full queue costs about as
+ * much as a statement, and a pool wakes with each statement that ends.
+ */
+const PLAN_INTERVAL_MS = 5;
 
 /** Time after a refusal in which the endpoint may have no room to spare, in ms. */
 const REFUSING_MS = 5_000;
@@ -59,7 +64,7 @@
   // An entry host may already have a newer table, with workspaces.
   return (
     (table !== null && table.workspaces !== null) ||
-    pool.jobs.list().some(({msg}) => msg.workspace !== null)
+    pool.jobs.list().some(({msg}) => msg.workspace != null)
   );
 }
 
@@ -218,8 +223,28 @@
     });
   };
 
+  /** When the next plan may be made. */
+  let planAt: Instant = -Infinity;
+  let isPlanScheduled = false;
+  /** Plans again once the interval since the last plan has passed. */
+  const schedulePlan = (): void => {
+    if (isPlanScheduled) {
+      return;
+    }
+    isPlanScheduled = true;
+    pool.cfg.ports.runtime.at(planAt, () => {
+      isPlanScheduled = false;
+      pool.wake();
+    });
+  };
+
   const open = (): void => {
     const now = pool.now();
+    if (now < planAt) {
+      schedulePlan();
+      return;
+    }
+    planAt = now + PLAN_INTERVAL_MS;
     uses.update(pool.conns.list(), now);
     const isAnyWaiting = pool.jobs
       .list()
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -367,6 +367,7 @@
       stored !== null &&
       stored.revision > (baseRevision ?? -1) &&
       isWrittenIn(stored, era) &&
+      stored.ownership.generation === ownership.generation &&
       isOwnRecord(stored.ownership);
     if (isOwner) {
       // If not this write made the record, an earlier one without an answer did.
--- a/packages/pooler/src/table/table_feed.ts
+++ b/packages/pooler/src/table/table_feed.ts
@@ -254,8 +254,9 @@
       if (!isNewer) {
         sender.release(host);
       }
-      // A host of an earlier version fetches by each ask, and would take an age
-      // without a table as proof that its own one is current.
+      // A host of an earlier version cannot read a compressed table, and would
+      // take an age without a table as proof that its own one is current: it has
+      // to watch the store itself.
       const isProof = !isNewer || isFetch !== undefined;
       send(host, {
         type: 'table_news',
@@ -264,7 +265,7 @@
         version: table?.version ?? null,
         table: null,
       });
-      if (isNewer && isFetch !== false) {
+      if (isNewer && isFetch === true) {
         sender.send(host);
       }
     },
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -185,21 +185,20 @@
 function createCapacityGauges(registry: Registry): EventCounter {
   const group = createBoundedLabel();
   const endpoint = createBoundedLabel();
-  const define = (name: string, help: string): Gauge =>
+  const define = (definition: {name: string; help: string}): Gauge =>
     new Gauge({
-      name,
-      help,
+      ...definition,
       labelNames: ['group', 'endpoint'],
       registers: [registry],
     });
-  const factors = define(
-    'lacewingroad_endpoint_speed_factor',
-    'Service time at an endpoint relative to the normal one, as last logged.',
-  );
-  const limits = define(
-    'lacewingroad_endpoint_limit',
-    'Statements that an endpoint runs well concurrently, as last logged.',
-  );
+  const factors = define({
+    name: 'lacewingroad_endpoint_speed_factor',
+    help: 'Service time at an endpoint relative to the normal one, as last logged.',
+  });
+  const limits = define({
+    name: 'lacewingroad_endpoint_limit',
+    help: 'Statements that an endpoint runs well concurrently, as last logged.',
+  });
   return fields => {
     const labels = {
       group: group(fields['group']),
