Await the reply to a read by its expected time, longer with each attempt

Cause: a read without a reply for 300 ms was sent to another endpoint. Change: eight times the expected time of its kind, at least 300 ms, doubled with each attempt. Measured: unit test of a read that takes 350 ms at each endpoint, red before.

--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -1319,6 +1319,18 @@
   });
 });
 
+describe('a read that takes long everywhere', () => {
+  // It was cut off at each endpoint after 300 ms, used four slots in turn and
+  // was refused.
+  it('is served', async () => {
+    group.endpoints.forEach(endpoint => (endpoint.executionMs = 350));
+    const request = send({timeoutLeftMs: 3_000});
+    await advanceTime(1_500);
+    expect(results.get(request)?.type).toBe('done');
+    expect(listEndpointsOf(request).length).toBeLessThanOrEqual(2);
+  });
+});
+
 describe('the capacity of endpoints', () => {
   /** Sends reads at a steady rate; returns how many each endpoint ran. */
   async function sendReads(
--- a/packages/pooler/src/owner/group_pool.ts
+++ b/packages/pooler/src/owner/group_pool.ts
@@ -4,6 +4,7 @@
 import type {Unregister} from '@lacewingroad/runtime';
 import {isAccessRevoked} from '../decisions/access.js';
 import {isCommitting, isWrite} from '../decisions/effects.js';
+import {computeReplyTimeoutMs} from '../decisions/reply_timeout.js';
 import {areWritesStuck, mayTryWrite} from '../decisions/stuck_writes.js';
 import type {RunMessage} from '../model/message.js';
 import type {GroupLineage} from '../model/ownership.js';
@@ -19,12 +20,7 @@
   retryUnansweredRead,
   rollBackTx,
 } from './jobs.js';
-import {
-  BUSY_TICK_MS,
-  IDLE_TICK_MS,
-  MISSING_ENTRY_GRACE_MS,
-  READ_REPLY_TIMEOUT_MS,
-} from './limits.js';
+import {BUSY_TICK_MS, IDLE_TICK_MS, MISSING_ENTRY_GRACE_MS} from './limits.js';
 import {
   describeWork,
   endRefused,
@@ -159,7 +155,8 @@
       expireJob(pool, job);
       continue;
     }
-    if (job.sentAt !== null && now - job.sentAt >= READ_REPLY_TIMEOUT_MS) {
+    const timeoutMs = computeReplyTimeoutMs(job.expectedMs, job.attempts);
+    if (job.sentAt !== null && now - job.sentAt >= timeoutMs) {
       retryUnansweredRead(pool, job);
     }
   }
--- a/packages/pooler/src/owner/limits.ts
+++ b/packages/pooler/src/owner/limits.ts
@@ -55,8 +55,6 @@
  * Time for which an endpoint whose promotion was rejected is skipped, in ms.
  */
 export const REJECTED_CANDIDATE_MS = 1_500;
-/** Time without a reply after which a read is retried elsewhere, in ms. */
-export const READ_REPLY_TIMEOUT_MS = 300;
 /** Maximum number of times that a read is sent. */
 export const MAX_READ_ATTEMPTS = 4;
 /** Pause before more statements go to an endpoint that reported busy, in ms. */
