Send the table version by which a key was accepted

Cause: a request that waited for an owner, or was sent again, carried the version that was in force by then beside the workspace of the earlier check; an owner with an older table took that for newer access. Change: the version is kept with the request.

--- a/packages/pooler/src/entry/entry.ts
+++ b/packages/pooler/src/entry/entry.ts
@@ -344,7 +344,7 @@
       database: req.route.database,
       workspace: req.workspace,
       keyDigest: caller.keyDigest,
-      tableVersion: cfg.readTable()?.version ?? 0,
+      tableVersion: req.tableVersion,
       tx: req.tx,
       statement: req.statement,
       session: {values: [...caller.values]},
@@ -404,7 +404,6 @@
     const {tx} = caller;
     const id = createId();
     const deadline = received.receivedAt + route.timeoutMs;
-    const startedAt = tx?.startedAt ?? received.receivedAt;
     const req: Request = {
       id,
       caller: caller.id,
@@ -417,8 +416,9 @@
       route,
       workspace,
       receivedAt: received.receivedAt,
-      targetAt: startedAt + route.targetMs,
+      targetAt: (tx?.startedAt ?? received.receivedAt) + route.targetMs,
       deadline,
+      tableVersion: cfg.readTable()?.version ?? 0,
       sentTo: null,
       attempts: 0,
     };
--- a/packages/pooler/src/entry/session.ts
+++ b/packages/pooler/src/entry/session.ts
@@ -60,6 +60,8 @@
   readonly receivedAt: Instant;
   readonly targetAt: Instant;
   readonly deadline: Instant;
+  /** Version of the table by which the caller's key was accepted. */
+  readonly tableVersion: number;
   /** The owner that it was sent to; null while it waits for an owner. */
   readonly sentTo: HostId | null;
   readonly attempts: number;
