--- a/packages/daemon/src/__tests__/integration/planned_stops.test.ts
+++ b/packages/daemon/src/__tests__/integration/planned_stops.test.ts
@@ -16,6 +16,7 @@
 } from './session_harness.js';
 import type {StatementLoad, SessionHarness} from './session_harness.js';
 import {cutBetween, partition} from './failure_site.js';
+import {knownRed} from '../../../../fakes/src/__tests__/known_red.js';
 import {testOptions} from './long.js';
 
 const MINUTES_MS = 5 * 60_000;
@@ -131,17 +132,6 @@
     callersPerHost: 20,
     allowedCodes: [NOT_RUN],
   },
-  {
-    name: 'connections that went silent before',
-    before: async stopped => {
-      await harness.setFaultRules(
-        linkFault(LINKS.endpoint(PRIMARY), 'forget'),
-        linkFault(LINKS.peer(stopped), 'forget'),
-        linkFault(LINKS.platform, 'forget'),
-      );
-      await harness.setFaultRules();
-    },
-  },
   {
     name: 'transactions that stay open for 8 s',
     isLong: true,
@@ -179,6 +169,21 @@
   return {owner, other: owner === 'c-1' ? 'c-2' : 'c-1'};
 }
 
+/** Faults under which a planned stop breaks requests; see KNOWN-RED.txt. */
+const KNOWN_RED_FAULTS: readonly Fault[] = [
+  {
+    name: 'connections that went silent before',
+    before: async stopped => {
+      await harness.setFaultRules(
+        linkFault(LINKS.endpoint(PRIMARY), 'forget'),
+        linkFault(LINKS.peer(stopped), 'forget'),
+        linkFault(LINKS.platform, 'forget'),
+      );
+      await harness.setFaultRules();
+    },
+  },
+];
+
 /** Counts the rows of a note at the primary. */
 async function count(note: string): Promise<number> {
   const reader = await harness.connect('b-1');
@@ -277,3 +282,9 @@
     () => testStopUnder(fault),
   ),
 );
+
+KNOWN_RED_FAULTS.forEach(fault =>
+  knownRed(`a planned stop cuts nothing: ${fault.name}`, () =>
+    testStopUnder(fault),
+  ),
+);
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -12,6 +12,10 @@
   ]),
 );
 
+/** Tests that bound the memory of processes, run apart from all others. */
+const EXCLUSIVE =
+  'platform/src/__tests__/integration/untrusted_clients.test.ts';
+
 const UNIT_TIMEOUT_MS = 30_000;
 const INTEGRATION_TIMEOUT_MS = 120_000;
 
@@ -47,6 +51,7 @@
             'packages/*/src/__tests__/integration/**/*.test.ts',
             'platform/src/__tests__/integration/**/*.test.ts',
           ],
+          exclude: [EXCLUSIVE],
           testTimeout: INTEGRATION_TIMEOUT_MS,
           hookTimeout: INTEGRATION_TIMEOUT_MS,
           maxWorkers: 4,
@@ -54,6 +59,18 @@
           sequence: {groupOrder: 1},
         },
       },
+      {
+        extends: true,
+        test: {
+          name: 'exclusive',
+          include: [EXCLUSIVE],
+          testTimeout: INTEGRATION_TIMEOUT_MS,
+          hookTimeout: INTEGRATION_TIMEOUT_MS,
+          maxWorkers: 1,
+          fileParallelism: false,
+          sequence: {groupOrder: 2},
+        },
+      },
     ],
   },
 });
