--- a/packages/pooler/src/decisions/reply_timeout.ts
+++ b/packages/pooler/src/decisions/reply_timeout.ts
@@ -10,14 +10,20 @@
 const SERVICE_FACTOR = 8;
 
 /**
- * Returns the timeout of an attempt, counted from 1. It doubles with each, so
- * that a read that takes long everywhere ends instead of using a slot of each
- * endpoint in turn.
+ * Attempts with the first timeout: a lost reply is the usual cause, and a second
+ * one in a row must not use up the time of the statement.
+ */
+const SHORT_ATTEMPTS = 2;
+
+/**
+ * Returns the timeout of an attempt, counted from 1. It doubles with each after
+ * the first ones, so that a read that takes long everywhere ends instead of
+ * using a slot of each endpoint in turn.
  */
 export function computeReplyTimeoutMs(
   expectedMs: number,
   attempt: number,
 ): number {
   const firstMs = Math.max(MIN_TIMEOUT_MS, expectedMs * SERVICE_FACTOR);
-  return firstMs * 2 ** Math.max(0, attempt - 1);
+  return firstMs * 2 ** Math.max(0, attempt - SHORT_ATTEMPTS);
 }
