--- a/packages/pooler/src/decisions/admission.ts
+++ b/packages/pooler/src/decisions/admission.ts
@@ -55,7 +55,7 @@
 const FLOOR_SHARE = 1 / (MAX_SKIPS + 1);
 /**
  * Share of the time until its target that a statement may be expected to need:
- * the rest is for the estimate's error. Tuned with the overload replay.
+ * the rest is for the estimate's error.
  */
 const TARGET_SHARE = 0.7;
 /**
