--- a/review/6/zone_cut.test.mjs
+++ b/review/6/zone_cut.test.mjs
@@ -17,6 +17,8 @@
 } from '../lib-2/platform.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
+/** Whether the control interface is in no zone and always reached. */
+const IS_CONTROL_OUTSIDE = process.env.CONTROL === 'outside';
 const ZONES = ['za', 'zb', 'zc'];
 /** The primaries are in the first zone, with the store. */
 const CUT_ZONE = 'zb';
@@ -58,7 +60,7 @@
     hostsPerZone: 2,
     hasNetwork: true,
     storeZone: ZONES[0],
-    controlZone: CUT_ZONE,
+    controlZone: IS_CONTROL_OUTSIDE ? null : CUT_ZONE,
   });
   const {hosts} = platform;
   if (!(await waitUntil(() => hosts.every(host => host.isReady), 20_000))) {
--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -147,7 +147,8 @@
 /**
  * Starts a platform with one host in each zone. The groups register their
  * endpoints at once, and each reports every 1,200 ms. With `hasNetwork`, the
- * paths between zones can be cut.
+ * paths between zones can be cut. Without a `controlZone`, each host reaches the
+ * control interface at all times.
  */
 export async function startPlatform({
   groups,
@@ -249,6 +250,7 @@
     });
   };
 
+  const uncutPath = new Path();
   const paths = new Map();
   /** Returns the path between two zones; that within a zone is never cut. */
   const getPath = (a, b) => {
@@ -305,7 +307,8 @@
       }),
       control: await openProxy({
         target: store.address,
-        selectPath: () => getPath(zone, controlZone),
+        selectPath: () =>
+          controlZone === null ? uncutPath : getPath(zone, controlZone),
       }),
     };
   };
