Send a promotion only when the next owner is certain to learn of it

An owner was cut off with its zone and one replica, had that replica promoted, and the next owner let clients write at the old primary.

Cause: requestPromotion waited up to 150 ms for the record that names the candidate, and sent the call also when the write was refused, unanswered or late. The next owner keeps the old primary out by that record alone. Evidence: in the owner's log ownership_not_renewed (refused, ECONNRESET), then promotion_called; the next owner adopts the primary of term 1. Ruled out by the same lines: a record that named the promotion and was ignored, and a write that was executed after the claim.

Change: a call waits until the record in the store names the candidate, or a majority of each set of deputies has noted it. Requests for promises carry the list; deputies report it with their consent, and to a restarted owner. Any deputies that can consent include one of that majority, so an outage of the store delays no promotion. A claim with too few reports assumes that any endpoint may have been promoted. A call is not sent once its promotion is over. Requests for promises and the lineage of records leave the ownership controller for modules of their own.

The new fields of earlier messages are listed by message type in message_check.test.ts, as promotion_report must not lack the field of the same name.

--- a/packages/pooler/src/__tests__/fake_fleet.ts
+++ b/packages/pooler/src/__tests__/fake_fleet.ts
@@ -136,6 +136,8 @@
    * each other.
    */
   readonly cutPairs: Set<string>;
+  /** Connections to endpoints that are cut off fail at once, not by timeout. */
+  refusesCutConns: boolean;
   /** Called with each message that a host sends to another one. */
   readonly messageObservers: Set<
     (from: string, to: string, msg: PoolMessage) => void
@@ -444,6 +446,12 @@
               deliver(name, fn);
             }
           };
+          if (fleet.refusesCutConns && isCut(name, entry.id)) {
+            runtime.at(runtime.now() + LINK_MS, () =>
+              deliver(name, () => handlers.onClosed('refused')),
+            );
+            return {send: () => undefined, close: () => undefined};
+          }
           const link = group.openConn(entry, workspace, {
             onReady: position => receive(() => handlers.onReady(position)),
             onRefused: fault => receive(() => handlers.onRefused(fault)),
@@ -613,7 +621,7 @@
     }
   };
 
-  return {
+  const fleet: Fleet = {
     runtime,
     group,
     hosts,
@@ -638,6 +646,7 @@
     },
     messageObservers,
     cutPairs,
+    refusesCutConns: false,
     get,
     passTime,
     start,
@@ -712,4 +721,5 @@
       return null;
     },
   };
+  return fleet;
 }
--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -78,7 +78,7 @@
       },
       isLeaseValid: () => isLeaseValid,
       readGeneration: () => GENERATION,
-      saveLineage: () => Promise.resolve(),
+      keepPromotion: () => Promise.resolve('record'),
       readTable: () => ({
         version: 1,
         routes: new Map(),
@@ -93,6 +93,7 @@
         readAt: isListCurrent ? runtime.now() : 0,
       }),
       lineage,
+      predecessorEndedAt: runtime.now(),
       allowances,
     },
     readFakeStatus,
--- a/packages/pooler/src/__tests__/unit/message_check.test.ts
+++ b/packages/pooler/src/__tests__/unit/message_check.test.ts
@@ -52,9 +52,28 @@
   },
   {type: 'close_tx', group: GROUP, tx: 't'},
   {type: 'lease_ask', group: GROUP, generation: 1, revision: 1, ask: 1},
+  {
+    type: 'lease_ask',
+    group: GROUP,
+    generation: 1,
+    revision: 1,
+    ask: 1,
+    promoting: ['i-1'],
+  },
   {type: 'lease_grant', group: GROUP, generation: 1, ask: 1, isGranted: true},
+  {
+    type: 'lease_grant',
+    group: GROUP,
+    generation: 1,
+    ask: 1,
+    isGranted: true,
+    isNoted: true,
+  },
   {type: 'consent_ask', group: GROUP, revision: 1},
   {type: 'consent', group: GROUP, revision: 1},
+  {type: 'consent', group: GROUP, revision: 1, promoting: ['i-1']},
+  {type: 'promotion_ask', group: GROUP, generation: 1},
+  {type: 'promotion_report', group: GROUP, generation: 1, promoting: null},
   {type: 'owner_state', group: GROUP, generation: 1, isActive: false},
   {type: 'record', stored: {revision: 1, ownership: OWNERSHIP}},
   {type: 'table_ask', ask: 1, version: null},
@@ -74,10 +93,13 @@
 
 /** Fields that hosts of earlier versions do not send. */
 const ADDED_FIELDS: ReadonlySet<string> = new Set([
-  'database',
-  'workspace',
-  'keyDigest',
-  'tableVersion',
+  'run.database',
+  'run.workspace',
+  'run.keyDigest',
+  'run.tableVersion',
+  'lease_ask.promoting',
+  'lease_grant.isNoted',
+  'consent.promoting',
 ]);
 
 /** Returns copies of a message that each lack or spoil one field. */
@@ -85,7 +107,7 @@
   return Object.keys(msg).flatMap(name => {
     const spoilt = {...msg, [name]: {nested: true}} as unknown as PoolMessage;
     const lacking = {...msg, [name]: undefined} as unknown as PoolMessage;
-    return ADDED_FIELDS.has(name) ? [spoilt] : [spoilt, lacking];
+    return ADDED_FIELDS.has(`${msg.type}.${name}`) ? [spoilt] : [spoilt, lacking];
   });
 }
 
--- a/packages/pooler/src/__tests__/unit/overloaded_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/overloaded_pool.test.ts
@@ -118,7 +118,7 @@
       },
       isLeaseValid: () => true,
       readGeneration: () => 7,
-      saveLineage: () => Promise.resolve(),
+      keepPromotion: () => Promise.resolve('record'),
       readTable: () => ({
         version: 1,
         routes: new Map(),
@@ -131,6 +131,7 @@
         readAt: runtime.now(),
       }),
       lineage: null,
+      predecessorEndedAt: 0,
     },
     readFakeStatus,
   );
--- a/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
+++ b/packages/pooler/src/__tests__/unit/restarted_logs.test.ts
@@ -54,7 +54,7 @@
       },
       isLeaseValid: () => true,
       readGeneration: () => 7,
-      saveLineage: () => Promise.resolve(),
+      keepPromotion: () => Promise.resolve('record'),
       readTable: () => ({
         version: 1,
         routes: new Map(),
@@ -67,6 +67,7 @@
         readAt: runtime.now(),
       }),
       lineage,
+      predecessorEndedAt: runtime.now(),
     },
     readFakeStatus,
   );
--- a/packages/pooler/src/__tests__/unit/workspace_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/workspace_pool.test.ts
@@ -140,13 +140,14 @@
       },
       isLeaseValid: () => true,
       readGeneration: () => 7,
-      saveLineage: () => Promise.resolve(),
+      keepPromotion: () => Promise.resolve('record'),
       readTable,
       readEndpoints: () => ({
         entries: group.readEntries(),
         readAt: runtime.now(),
       }),
       lineage: null,
+      predecessorEndedAt: 0,
     },
     readFakeStatus,
   );
--- a/packages/pooler/src/host.ts
+++ b/packages/pooler/src/host.ts
@@ -12,7 +12,11 @@
 import {createEntry} from './entry/entry.js';
 import type {Entry} from './entry/entry.js';
 import type {EndpointList} from './model/directory.js';
-import type {OwnerStateMessage, PoolMessage} from './model/message.js';
+import type {
+  MessageHandlers,
+  OwnerStateMessage,
+  PoolMessage,
+} from './model/message.js';
 import {isWellFormed} from './model/message_check.js';
 import {listMembers} from './model/ownership.js';
 import type {HostEntry, StoredOwnership} from './model/ownership.js';
@@ -70,13 +74,6 @@
   readonly close: () => void;
 }
 
-type MessageHandlers = {
-  readonly [T in PoolMessage['type']]: (
-    host: HostId,
-    msg: Extract<PoolMessage, {type: T}>,
-  ) => void;
-};
-
 /** Creates a host; it claims groups once it has the table and the records. */
 export function createHost(cfg: HostConfig): Host {
   const {self, ports, incarnation} = cfg;
@@ -281,11 +278,11 @@
         ports: {...ports, send, promote: guardPromotions(group)},
         isLeaseValid: () => ownership.hasValidLease(group),
         readGeneration: () => ownership.readGeneration(group),
-        saveLineage: () => ownership.saveLineage(group),
+        keepPromotion: ownership.keepPromotion,
         readTable: tableFeed.read,
         readEndpoints: () => endpoints,
         allowances: allowances?.gate ?? null,
-        lineage: ownership.readStored(group)?.ownership.lineage ?? null,
+        ...ownership.readInheritance(group),
       },
       cfg.readStatus,
     );
@@ -375,10 +372,7 @@
     },
     ran: (_host, msg) => entry.handleRan(msg.request, msg.result),
     close_tx: (host, msg) => pools.get(msg.group)?.closeTx(host, msg.tx),
-    lease_ask: (host, msg) => ownership.handleAsk(host, msg),
-    lease_grant: (host, msg) => ownership.handleGrant(host, msg),
-    consent_ask: (host, msg) => ownership.handleConsentAsk(host, msg),
-    consent: (host, msg) => ownership.handleConsent(host, msg),
+    ...ownership.handlers,
     record: (_host, {stored}) => ownership.applyRecord(stored),
     owner_state: handleOwnerState,
     table_ask: (host, msg) => tableFeed.handleAsk(host, msg),
--- a/packages/pooler/src/model/message.ts
+++ b/packages/pooler/src/model/message.ts
@@ -1,6 +1,11 @@
 /** Messages between hosts. Deadlines are sent as the milliseconds left. */
 
-import type {GroupId, LogPosition} from '@lacewingroad/core';
+import type {
+  EndpointId,
+  GroupId,
+  HostId,
+  LogPosition,
+} from '@lacewingroad/core';
 import type {Consistency, PackedTable, WorkspaceId} from './directory.js';
 import type {StoredOwnership} from './ownership.js';
 import type {RunResult} from './result.js';
@@ -72,6 +77,11 @@
   readonly revision: number;
   /** Number of this request; the answer repeats it. */
   readonly ask: number;
+  /**
+   * Endpoints whose promotion the owner has requested and that may take effect
+   * or be unseen. Missing in the messages of hosts of earlier versions.
+   */
+  readonly promoting?: readonly EndpointId[] | undefined;
 }
 
 /** Answers a LeaseAskMessage; the owner counts a grant from its request. */
@@ -82,6 +92,11 @@
   /** Number of the request that this answers. */
   readonly ask: number;
   readonly isGranted: boolean;
+  /**
+   * Whether the sender reports the promotions of the request to a next owner.
+   * Missing in the messages of hosts of earlier versions.
+   */
+  readonly isNoted?: boolean | undefined;
 }
 
 /** Asks a deputy to consent to a takeover of the record at this revision. */
@@ -96,6 +111,27 @@
   readonly type: 'consent';
   readonly group: GroupId;
   readonly revision: number;
+  /**
+   * Promotions that the owner has told the sender of; null if the owner has told
+   * it nothing since it started. Missing from hosts of earlier versions.
+   */
+  readonly promoting?: readonly EndpointId[] | null | undefined;
+}
+
+/** Asks a deputy which promotions the owner of a generation has requested. */
+export interface PromotionAskMessage {
+  readonly type: 'promotion_ask';
+  readonly group: GroupId;
+  readonly generation: number;
+}
+
+/** Answers a PromotionAskMessage, without a promise. */
+export interface PromotionReportMessage {
+  readonly type: 'promotion_report';
+  readonly group: GroupId;
+  readonly generation: number;
+  /** Null if the owner has told the sender nothing since it started. */
+  readonly promoting: readonly EndpointId[] | null;
 }
 
 /** Passes on a record that was read from or written to the store. */
@@ -184,6 +220,8 @@
   | LeaseGrantMessage
   | ConsentAskMessage
   | ConsentMessage
+  | PromotionAskMessage
+  | PromotionReportMessage
   | RecordMessage
   | OwnerStateMessage
   | TableAskMessage
@@ -191,3 +229,11 @@
   | AllowanceAskMessage
   | AllowanceGrantMessage
   | HelloMessage;
+
+/** Handlers of messages, by their type. */
+export type MessageHandlers = {
+  readonly [T in PoolMessage['type']]: (
+    host: HostId,
+    msg: Extract<PoolMessage, {type: T}>,
+  ) => void;
+};
--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -166,15 +166,27 @@
     generation: isNumber,
     revision: isNumber,
     ask: isNumber,
+    promoting: optional(listOf(isString)),
   }),
   lease_grant: fields({
     group: isString,
     generation: isNumber,
     ask: isNumber,
     isGranted: isBoolean,
+    isNoted: optional(isBoolean),
   }),
   consent_ask: fields({group: isString, revision: isNumber}),
-  consent: fields({group: isString, revision: isNumber}),
+  consent: fields({
+    group: isString,
+    revision: isNumber,
+    promoting: optional(orNull(listOf(isString))),
+  }),
+  promotion_ask: fields({group: isString, generation: isNumber}),
+  promotion_report: fields({
+    group: isString,
+    generation: isNumber,
+    promoting: orNull(listOf(isString)),
+  }),
   record: fields({stored: isStored}),
   owner_state: fields({
     group: isString,
--- a/packages/pooler/src/model/ownership.ts
+++ b/packages/pooler/src/model/ownership.ts
@@ -51,6 +51,12 @@
   readonly promoting: readonly EndpointId[];
 }
 
+/**
+ * Stands for an endpoint that a lineage may lack: one whose log may hold
+ * acknowledged commits, or whose promotion may have been requested.
+ */
+export const UNKNOWN_ENDPOINT: EndpointId = 'unknown';
+
 /** Returns whether two lineages name the same runs, term and candidates. */
 export function isSameLineage(
   a: GroupLineage | null,
--- a/packages/pooler/src/owner/members.ts
+++ b/packages/pooler/src/owner/members.ts
@@ -181,8 +181,9 @@
   const places = new Set(silent.map(({endpoint}) => endpoint));
   const missing = Math.max(0, places.size - syncReplicas);
   const needed = Math.max(1, reporters.length + missing);
-  // Without a record of the members, others may have left unnoticed.
-  return pool.cfg.lineage === null
+  // Without a record of an owner that knew a primary, others may have left
+  // unnoticed.
+  return (pool.cfg.lineage?.term ?? 0) === 0
     ? Math.max(needed, syncReplicas + 1)
     : needed;
 }
@@ -190,8 +191,8 @@
 /** Returns what the next owner has to know; null before a primary is known. */
 export function readLineage(pool: Pool): GroupLineage | null {
   const known = pool.cfg.lineage;
-  const {primary} = pool.read();
-  if (known === null && primary === null) {
+  const {primary, calls} = pool.read();
+  if (known === null && primary === null && calls.length === 0) {
     return null;
   }
   return {
@@ -203,6 +204,6 @@
         ...(endedAt !== null && ackedBefore !== null && {ackedBefore}),
       })),
     term: Math.max(known?.term ?? 0, primary?.term ?? 0),
-    promoting: [...new Set(pool.read().calls.map(call => call.endpoint))],
+    promoting: [...new Set(calls.map(call => call.endpoint))],
   };
 }
--- a/packages/pooler/src/owner/promotion_calls.ts
+++ b/packages/pooler/src/owner/promotion_calls.ts
@@ -5,7 +5,12 @@
  */
 
 import type {EndpointId} from '@lacewingroad/core';
-import {PROMOTE_TIMEOUT_MS, STATUS_TIMEOUT_MS} from './limits.js';
+import {UNKNOWN_ENDPOINT} from '../model/ownership.js';
+import {
+  CONFIRM_PRIMARY_MS,
+  PROMOTE_TIMEOUT_MS,
+  STATUS_TIMEOUT_MS,
+} from './limits.js';
 import type {Pool, Promotion, PromotionCall} from './state.js';
 
 /** Returns whether a requested promotion may still take effect. */
@@ -28,10 +33,17 @@
   return id;
 }
 
-/** Adds the requests of earlier owners that may not have taken effect. */
+/**
+ * Adds the requests of earlier owners that may not have taken effect. One that
+ * may have been sent, without any trace, was answered before its owner ended.
+ */
 export function addInheritedCalls(pool: Pool): void {
-  const settledAt = pool.now() + PROMOTE_TIMEOUT_MS;
-  for (const endpoint of pool.cfg.lineage?.promoting ?? []) {
+  const {lineage, predecessorEndedAt} = pool.cfg;
+  for (const endpoint of lineage?.promoting ?? []) {
+    const settledAt =
+      endpoint === UNKNOWN_ENDPOINT
+        ? predecessorEndedAt + CONFIRM_PRIMARY_MS
+        : pool.now() + PROMOTE_TIMEOUT_MS;
     const id = pool.nextId();
     putCall(pool, {id, endpoint, settledAt, cancel: () => undefined});
   }
@@ -61,20 +73,29 @@
   pool.update({calls});
 }
 
+/** Returns whether an endpoint has just reported that it is a replica. */
+function isSeenAsReplica(pool: Pool, endpoint: EndpointId): boolean {
+  const state = pool.endpoints.get(endpoint);
+  return (
+    state !== undefined &&
+    state.status?.role === 'replica' &&
+    state.downSince === null &&
+    pool.now() - (state.statusRequestedAt ?? -Infinity) < STATUS_TIMEOUT_MS
+  );
+}
+
 /**
  * Returns whether another endpoint may have been promoted unseen. One that still
  * reports that it is a replica was not.
  */
 export function mayHavePromoted(pool: Pool, {called}: Promotion): boolean {
-  return called.some(id => {
-    const state = pool.endpoints.get(id);
-    const isSeen =
-      state !== undefined &&
-      state.status?.role === 'replica' &&
-      state.downSince === null &&
-      pool.now() - (state.statusRequestedAt ?? -Infinity) < STATUS_TIMEOUT_MS;
-    return !isSeen;
-  });
+  const primary = pool.read().primary?.endpoint;
+  const suspects = called.includes(UNKNOWN_ENDPOINT)
+    ? pool.members.list().map(({endpoint}) => endpoint)
+    : called;
+  return suspects.some(
+    endpoint => endpoint !== primary && !isSeenAsReplica(pool, endpoint),
+  );
 }
 
 /** Removes requests that are too old to take effect. */
--- a/packages/pooler/src/owner/promotion_request.ts
+++ b/packages/pooler/src/owner/promotion_request.ts
@@ -1,7 +1,6 @@
 /** Requests the promotion of an endpoint from the platform. */
 
 import type {EndpointId} from '@lacewingroad/core';
-import {waitUntil} from '@lacewingroad/runtime';
 import type {Candidate} from '../decisions/candidate.js';
 import type {PromoteResult} from '../ports.js';
 import {getAckedUpperBound} from './acks.js';
@@ -21,12 +20,16 @@
   'unknown',
 ]);
 
-/** Time for the next owner's record to be written before a request, in ms. */
-const SAVE_TIMEOUT_MS = 150;
+/**
+ * Time for a promotion to be kept for the next owner before the candidate is
+ * chosen again, in ms: an interval between two requests to the deputies.
+ */
+const KEEP_TIMEOUT_MS = 300;
 
 /**
- * Requests the promotion of a candidate from the platform. The record says so
- * before: another owner must not let the old primary acknowledge commits.
+ * Requests the promotion of a candidate from the platform, once the next owner
+ * is certain to learn of it. Otherwise that owner would let the old primary
+ * acknowledge commits.
  */
 export async function requestPromotion(
   pool: Pool,
@@ -44,20 +47,38 @@
     waitReason: null,
   });
   const call = openCall(pool, candidate.id, () => controller.abort());
+  const isWanted = (): boolean => pool.read().promotion?.phase === 'calling';
   const maySend = (): boolean =>
     pool.cfg.isLeaseValid() &&
     readGeneration() === generation &&
+    isWanted() &&
     !pool.read().isClosed;
-  await Promise.race([
-    pool.cfg.saveLineage(),
-    waitUntil(ports.runtime, startedAt + SAVE_TIMEOUT_MS),
-  ]);
+  const keeper = await pool.cfg.keepPromotion(
+    group,
+    candidate.id,
+    startedAt + KEEP_TIMEOUT_MS,
+  );
+  if (keeper === null) {
+    ports.record('warn', 'promotion_not_kept', {
+      group,
+      endpoint: candidate.id,
+      generation,
+      took_ms: Math.round(pool.now() - startedAt),
+    });
+    closeCall(pool, call);
+    if (isWanted()) {
+      updatePromotion(pool, {phase: 'choosing', nextAt: pool.now()});
+    }
+    return;
+  }
   ports.record('warn', 'promotion_called', {
     group,
     endpoint: candidate.id,
     term: candidate.received.term,
     index: candidate.received.index,
     acked: getAckedUpperBound(pool)?.index ?? null,
+    kept_by: keeper,
+    kept_ms: Math.round(pool.now() - startedAt),
     generation: readGeneration(),
   });
   const result = await ports.promote({
@@ -85,7 +106,7 @@
       rejectedUntil: pool.now() + REJECTED_CANDIDATE_MS,
     });
   }
-  if (pool.read().promotion?.phase !== 'calling') {
+  if (!isWanted()) {
     return;
   }
   const isAccepted = result.type === 'accepted';
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -223,14 +223,23 @@
   /** Returns whether this host may act as the owner now. */
   readonly isLeaseValid: () => boolean;
   readonly readGeneration: () => number;
-  /** Writes the lineage to the record of the group; resolves when done. */
-  readonly saveLineage: () => Promise<void>;
+  /**
+   * Has a promotion kept for the next owner, in the record or by deputies.
+   * Resolves to null if that has not succeeded by the deadline.
+   */
+  readonly keepPromotion: (
+    group: GroupId,
+    endpoint: EndpointId,
+    deadline: Instant,
+  ) => Promise<'record' | 'deputies' | null>;
   readonly readTable: () => RouteTable | null;
   readonly readEndpoints: () => EndpointList | null;
   /** Limits the operations of workspaces; null if they have no limits. */
   readonly allowances?: AllowanceGate | null;
   /** What earlier owners knew of the endpoints; null if nothing is recorded. */
   readonly lineage: GroupLineage | null;
+  /** When the owner before was known to have ended. */
+  readonly predecessorEndedAt: Instant;
 }
 
 /** A pool's state and its dependencies. */
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -21,14 +21,8 @@
   findBetterHost,
   orderHosts,
 } from '../decisions/owner_choice.js';
+import type {MessageHandlers} from '../model/message.js';
 import type {
-  ConsentAskMessage,
-  ConsentMessage,
-  LeaseAskMessage,
-  LeaseGrantMessage,
-} from '../model/message.js';
-import type {
-  EndpointRun,
   GroupLineage,
   HostAddress,
   HostEntry,
@@ -36,7 +30,6 @@
   StoredOwnership,
   WriteResult,
 } from '../model/ownership.js';
-import {isSameLineage} from '../model/ownership.js';
 import {
   computeCopyClaimTime,
   getMissingRevision,
@@ -46,6 +39,14 @@
 } from '../decisions/store_era.js';
 import type {HostPorts} from '../ports.js';
 import {createRecords} from '../records.js';
+import {createLeaseAsks} from './lease_asks.js';
+import {createPromotionReports} from './promotion_reports.js';
+import type {PromotionReports} from './promotion_reports.js';
+import {
+  findInheritedLineage,
+  findLineage,
+  isLineageOutdated,
+} from './record_lineage.js';
 import {createReceivedRecords} from './received_records.js';
 import type {ReceivedRecords} from './received_records.js';
 import {addPendingWrite, createRecordState} from './record_state.js';
@@ -82,11 +83,14 @@
  * which the process counts as suspended: the monotonic clock stops then.
  */
 const SUSPENSION_THRESHOLD_MS = 60;
-/**
- * Stands for a run that a lineage may lack: a promotion then needs the log of
- * one more endpoint, until the run counts as gone.
- */
-const UNKNOWN_RUN: EndpointRun = {endpoint: 'unknown', startedAt: 0};
+
+/** What a new owner starts from. */
+export interface Inheritance {
+  /** What earlier owners knew of the endpoints; null if nothing is recorded. */
+  readonly lineage: GroupLineage | null;
+  /** When the owner before was known to have ended. */
+  readonly predecessorEndedAt: Instant;
+}
 
 /** Dependencies of the controller. */
 export interface OwnershipConfig {
@@ -115,24 +119,33 @@
   readonly mayServe: () => boolean;
 }
 
+type OwnershipHandlers = Pick<
+  MessageHandlers,
+  | 'lease_ask'
+  | 'lease_grant'
+  | 'consent_ask'
+  | 'consent'
+  | 'promotion_ask'
+  | 'promotion_report'
+>;
+
 /** Tracks the owner of each group, and takes over groups. */
 export interface OwnershipController {
   /** Applies a record received from the store or from another host. */
   readonly applyRecord: (stored: StoredOwnership) => void;
   /** Applies the complete list of records, and the era of the store. */
   readonly applyList: ReceivedRecords['applyList'];
-  readonly handleAsk: (host: HostId, msg: LeaseAskMessage) => void;
-  readonly handleGrant: (host: HostId, msg: LeaseGrantMessage) => void;
-  readonly handleConsentAsk: (host: HostId, msg: ConsentAskMessage) => void;
-  readonly handleConsent: (host: HostId, msg: ConsentMessage) => void;
-  /** Writes the lineage of an owned group to its record now. */
-  readonly saveLineage: (group: GroupId) => Promise<void>;
+  /** Handles the messages of other hosts about leases and takeovers. */
+  readonly handlers: OwnershipHandlers;
+  /** Has a promotion that is about to be requested kept for the next owner. */
+  readonly keepPromotion: PromotionReports['keep'];
   /** Returns whether this host may act as the owner of a group now. */
   readonly hasValidLease: (group: GroupId) => boolean;
   /** Returns when the lease of a group expires; -Infinity without a lease. */
   readonly readLeaseExpiry: (group: GroupId) => Instant;
   readonly readGeneration: (group: GroupId) => number;
   readonly readStored: (group: GroupId) => StoredOwnership | null;
+  readonly readInheritance: (group: GroupId) => Inheritance;
   /** Returns all known records. */
   readonly listOwnerships: () => readonly Ownership[];
   /** Returns the groups that this host owns. */
@@ -166,7 +179,6 @@
   const {runtime, record, send, store} = ports;
   const records = createRecords<GroupId, RecordState>();
   const startedAt = runtime.now();
-  let nextAsk = 1;
   let mayClaim = true;
   let clockOffset = runtime.wallNow() - runtime.now();
 
@@ -340,6 +352,41 @@
     }
   };
 
+  /** Writes the lineage of an owned group to its record now. */
+  const saveLineage = async (group: GroupId): Promise<void> => {
+    while (getState(group).isWriting) {
+      await waitUntil(runtime, runtime.now() + RELEASE_POLL_MS);
+    }
+    const state = getState(group);
+    if (state.lease !== null && state.stored !== null && !state.isReleasing) {
+      await writeRenewal(state, state.stored.ownership.deputies);
+    }
+  };
+
+  const asks = createLeaseAsks({
+    runtime,
+    send,
+    records,
+    getState,
+    readPromoting: group => cfg.readLineage(group)?.promoting ?? [],
+    readInitialRevision: () => initialRevision,
+  });
+
+  const reports = createPromotionReports({
+    runtime,
+    send,
+    records,
+    getState,
+    readNote: asks.readNote,
+    askDeputies: asks.send,
+    saveLineage,
+    onReported: group => {
+      if (mayClaim && !getState(group).isWriting) {
+        reviewTakeover(getState(group), runtime.now());
+      }
+    },
+  });
+
   const claim = async (group: GroupId): Promise<void> => {
     const state = getState(group);
     const base = state.stored;
@@ -353,7 +400,10 @@
       generation: (baseRevision ?? 0) + 1,
       deputies,
       renewals: 0,
-      lineage: base === null ? null : findClaimLineage(base, era),
+      lineage:
+        base === null
+          ? null
+          : reports.addTo(findInheritedLineage(base, era), state, era),
       era,
     };
     const sentAt = runtime.now();
@@ -373,10 +423,14 @@
       // If not this write made the record, an earlier one without an answer did.
       const {firstSentAt, lastSentAt} = pendingWrites;
       const isWritten = result.type === 'written';
+      const isOwnEarlierRun =
+        base?.ownership.owner.host === self.host &&
+        !isOwnRecord(base.ownership);
       startOwnership(
         group,
         stored.ownership,
         isWritten ? lastSentAt : firstSentAt,
+        isOwnEarlierRun ? startedAt : runtime.now(),
       );
     }
     const now = runtime.now();
@@ -386,6 +440,7 @@
       generation: ownership.generation,
       deputies: deputies.map(({host}) => host).join(),
       detail: 'detail' in result ? result.detail : null,
+      promoting: ownership.lineage?.promoting.join() ?? null,
       base: baseRevision,
       is_owner: isOwner,
       took_ms: Math.round(now - sentAt),
@@ -424,10 +479,13 @@
     group: GroupId,
     ownership: Ownership,
     renewedAt: Instant,
+    predecessorEndedAt: Instant,
   ): void => {
     records.update(group, {
       askedAt: -Infinity,
+      confirmedNotes: new Map(),
       gainedAt: runtime.now(),
+      predecessorEndedAt,
       expiredAt: null,
       isInactive: false,
       lease: {
@@ -440,30 +498,6 @@
     cfg.onGained(group);
   };
 
-  /** Returns the lineage that the next record of an owned group should hold. */
-  const findLineage = ({group, lineage}: Ownership): GroupLineage | null =>
-    cfg.readLineage(group) ?? lineage ?? null;
-
-  /**
-   * Returns the lineage that a claim of a record leaves. That of a copy may lack
-   * runs that joined after it was taken.
-   */
-  const findClaimLineage = (
-    stored: StoredOwnership,
-    era: number,
-  ): GroupLineage | null => {
-    const {lineage = null} = stored.ownership;
-    return lineage === null || isWrittenIn(stored, era)
-      ? lineage
-      : {...lineage, members: [...lineage.members, UNKNOWN_RUN]};
-  };
-
-  /** Returns whether the record of an owned group has an outdated lineage. */
-  const isLineageOutdated = (ownership: Ownership): boolean => {
-    const lineage = cfg.readLineage(ownership.group);
-    return lineage !== null && !isSameLineage(ownership.lineage, lineage);
-  };
-
   /** Returns the deputies that the next renewal should name. */
   const findDeputies = ({
     group,
@@ -491,7 +525,7 @@
     const arePromisesRecent = now - promisedAt < STALE_PROMISE_MS;
     if (!arePromisesRecent && !wereDeputiesAsked && isLeaseValid(lease!, now)) {
       records.update(group, {nextDeputies: hosts, writtenAt: now});
-      askDeputies(getState(group), now);
+      asks.send(getState(group));
       return;
     }
     records.update(group, {nextDeputies: []});
@@ -515,7 +549,7 @@
       ...before,
       deputies,
       renewals: before.renewals + 1,
-      lineage: findLineage(before),
+      lineage: findLineage(cfg.readLineage, before),
       era: readEra(stored!.revision),
     };
     const result = await write(ownership, stored);
@@ -556,30 +590,10 @@
     });
   };
 
-  const askDeputies = (state: RecordState, now: Instant): void => {
-    const {group, stored, lease} = state;
-    const asks = new Map(
-      [...state.asks].filter(([, {sentAt}]) => now - sentAt < PROMISE_MS),
-    );
-    const asked = [...lease!.deputySets.flat(), ...state.nextDeputies];
-    for (const host of new Set(asked)) {
-      const ask = nextAsk++;
-      asks.set(ask, {host, sentAt: now});
-      send(host, {
-        type: 'lease_ask',
-        group,
-        generation: stored!.ownership.generation,
-        revision: stored!.revision,
-        ask,
-      });
-    }
-    records.update(group, {asks, askedAt: now});
-  };
-
   const reviewOwned = (state: RecordState, now: Instant): void => {
     const {group, stored, lease, writtenAt, isWriting, isReleasing} = state;
     if (now - state.askedAt >= ASK_INTERVAL_MS) {
-      askDeputies(state, now);
+      asks.send(state);
     }
     const arePromisesStale =
       now - computePromiseQuorumTime(lease!) >= STALE_PROMISE_MS;
@@ -593,7 +607,7 @@
       isRenewalDue ||
       hasUnreachableDeputy ||
       isCopy(stored!) ||
-      isLineageOutdated(stored!.ownership);
+      isLineageOutdated(cfg.readLineage, stored!.ownership);
     if (needsRenewal && mayWriteNow && !isWriting && !isReleasing) {
       void renew(getState(group), now);
     }
@@ -647,7 +661,9 @@
     if (mayServe && owner.host === self.host) {
       // The owner is an earlier run of this process, or the group was handed
       // over to this host.
-      void claim(group);
+      if (reports.prepareReclaim(state)) {
+        void claim(group);
+      }
       return;
     }
     const isDeputy = listDeputies(stored.ownership).includes(self.host);
@@ -757,46 +773,20 @@
   };
   scheduleReview();
 
-  return {
-    applyList: (stored, era) => {
-      if (initialRevision === Infinity) {
-        initialRevision = Math.max(0, ...stored.map(({revision}) => revision));
-      }
-      received.applyList(stored, era);
-    },
-    applyRecord: received.apply,
-    handleAsk: (host, msg) => {
-      const {group, generation, ask} = msg;
+  const handlers: OwnershipHandlers = {
+    lease_ask: (host, msg) => {
       received.noteRevision(msg.revision);
-      const state = getState(group);
-      const known = state.stored?.ownership ?? null;
-      const isCurrent = known === null || generation >= known.generation;
-      // An earlier run of this process may have consented to a takeover at any
-      // revision up to `initialRevision`; this run promises only at newer ones.
-      const isNew =
-        msg.revision > Math.max(state.consentedRevision, initialRevision);
-      const isGranted = isCurrent && isNew && state.lease === null;
-      if (isGranted) {
-        const promisedUntil = runtime.now() + PROMISE_MS + DRIFT_MARGIN_MS;
-        records.update(group, {promisedUntil});
-      }
-      send(host, {type: 'lease_grant', group, generation, ask, isGranted});
+      asks.handleAsk(host, msg);
     },
-    handleGrant: (host, msg) => {
-      const state = getState(msg.group);
-      const asked = state.asks.get(msg.ask);
-      const {lease, stored} = state;
-      const isValidGrant =
-        lease !== null &&
-        asked?.host === host &&
-        msg.isGranted &&
-        msg.generation === stored?.ownership.generation;
-      if (isValidGrant) {
-        const grants = new Map(lease.grants).set(host, asked.sentAt);
-        records.update(msg.group, {lease: {...lease, grants}});
+    lease_grant: asks.handleGrant,
+    promotion_ask: reports.handleAsk,
+    promotion_report: (host, {group, generation, promoting}) => {
+      const known = getState(group).stored?.ownership;
+      if (known?.generation === generation) {
+        reports.put(group, host, promoting);
       }
     },
-    handleConsentAsk: (host, {group, revision}) => {
+    consent_ask: (host, {group, revision}) => {
       const state = getState(group);
       // Nobody may claim a copy, and its owner still needs promises for it.
       const isKnown =
@@ -806,31 +796,40 @@
         return;
       }
       records.update(group, {consentedRevision: revision});
-      send(host, {type: 'consent', group, revision});
+      const promoting = reports.readOwn(state);
+      send(host, {type: 'consent', group, revision, promoting});
     },
-    handleConsent: (host, {group, revision}) => {
+    consent: (host, {group, revision, promoting}) => {
       const {stored, consents} = getState(group);
       const isDeputy =
         stored?.revision === revision &&
         listDeputies(stored.ownership).includes(host);
       if (isDeputy) {
         records.update(group, {consents: new Set(consents).add(host)});
+        reports.put(group, host, promoting);
         claimWithConsents(group);
       }
     },
-    saveLineage: async group => {
-      while (getState(group).isWriting) {
-        await waitUntil(runtime, runtime.now() + RELEASE_POLL_MS);
-      }
-      const state = getState(group);
-      if (state.lease !== null && state.stored !== null && !state.isReleasing) {
-        await writeRenewal(state, state.stored.ownership.deputies);
+  };
+
+  return {
+    applyList: (stored, era) => {
+      if (initialRevision === Infinity) {
+        initialRevision = Math.max(0, ...stored.map(({revision}) => revision));
       }
+      received.applyList(stored, era);
     },
+    applyRecord: received.apply,
+    handlers,
+    keepPromotion: reports.keep,
     hasValidLease,
     readLeaseExpiry,
     readGeneration: group => getState(group).stored?.ownership.generation ?? 0,
     readStored: group => getState(group).stored,
+    readInheritance: group => ({
+      lineage: getState(group).stored?.ownership.lineage ?? null,
+      predecessorEndedAt: getState(group).predecessorEndedAt,
+    }),
     listOwnerships,
     listOwnedGroups,
     isNamedOwner: () =>
@@ -865,7 +864,8 @@
       );
       // Without a deputy that goes on, nobody could take the group over later.
       const next = to ?? deputy ?? pickDeputies(group)[0];
-      const lineage = stored === null ? null : findLineage(stored.ownership);
+      const lineage =
+        stored === null ? null : findLineage(cfg.readLineage, stored.ownership);
       dropOwnership(group, 'handed over');
       records.update(group, {isReleasing: false});
       if (stored === null || next === undefined) {
--- a/packages/pooler/src/ownership/received_records.ts
+++ b/packages/pooler/src/ownership/received_records.ts
@@ -105,7 +105,13 @@
     records.update(
       group,
       isRevisionNew
-        ? {stored, seenAt: runtime.now(), consents: new Set()}
+        ? {
+            stored,
+            seenAt: runtime.now(),
+            consents: new Set(),
+            reports: new Map(),
+            reportsAskedAt: null,
+          }
         : {stored, seenAt},
     );
     recordChange(before, received, stored);
