Keep promotions that nobody has seen in the record and at the next owner

A promotion that took effect unseen was named in the record for 2.5 s. An owner that took over later, or that found the old primary later than 2.5 s after its start, let the old primary acknowledge writes, which are lost once it hears of the promoted endpoint. Found by reading; no users' run shows it.

Cause: the endpoints that may lead unseen were a part of the promotion in progress at one owner. They were not written to the record, and were dropped with the promotion when an endpoint of the known term was adopted.

Change: they are a part of the pool's state and of its lineage. They are forgotten once each is seen as a replica of the known term, once the platform has accepted the promotion of the old primary, or once an endpoint that was called later leads. The record of a handover names them as well.

--- a/packages/pooler/src/__tests__/unit/message_check.test.ts
+++ b/packages/pooler/src/__tests__/unit/message_check.test.ts
@@ -107,7 +107,9 @@
   return Object.keys(msg).flatMap(name => {
     const spoilt = {...msg, [name]: {nested: true}} as unknown as PoolMessage;
     const lacking = {...msg, [name]: undefined} as unknown as PoolMessage;
-    return ADDED_FIELDS.has(`${msg.type}.${name}`) ? [spoilt] : [spoilt, lacking];
+    return ADDED_FIELDS.has(`${msg.type}.${name}`)
+      ? [spoilt]
+      : [spoilt, lacking];
   });
 }
 
--- a/packages/pooler/src/__tests__/unit/unrecorded_promotion.test.ts
+++ b/packages/pooler/src/__tests__/unit/unrecorded_promotion.test.ts
@@ -169,19 +169,25 @@
     expect(await fleet.write(name)).toMatchObject({type: 'done'});
   });
 
-  it('is followed by one that asks the platform if all deputies forgot', async () => {
-    const name = listDeputies()[0]!;
-    const promotedAt = await promoteUnseen();
-    listHosts().forEach(fleet.kill);
-    await fleet.passTime(300);
-    fleet.store.isDown = false;
-    fleet.heal(owner);
-    hide(PROMOTED, [owner]);
-    listHosts().forEach(fleet.start);
-    await writeFor(WRITE_MS, name);
-    checkOldPrimaryUnused(promotedAt);
-    expect(await fleet.write(name)).toMatchObject({type: 'done'});
-  });
+  it.each([300, 1_500])(
+    'is followed by one that asks the platform if all restart and claim %i ms later',
+    async ms => {
+      const name = listDeputies()[0]!;
+      const promotedAt = await promoteUnseen();
+      listHosts().forEach(fleet.kill);
+      fleet.heal(owner);
+      hide(PROMOTED, [owner]);
+      await fleet.passTime(300);
+      fleet.store.isDown = false;
+      listHosts().forEach(fleet.start);
+      fleet.store.isDown = true;
+      await fleet.passTime(ms);
+      fleet.store.isDown = false;
+      await writeFor(WRITE_MS, name);
+      checkOldPrimaryUnused(promotedAt);
+      expect(await fleet.write(name)).toMatchObject({type: 'done'});
+    },
+  );
 
   it('requests no promotion while it reaches no deputy either', async () => {
     listDeputies().forEach(name => fleet.cutPair(owner, name));
@@ -189,3 +195,48 @@
     expect(await waitForPromotion(3_000)).toBe(false);
   });
 });
+
+describe('a promotion that took effect and was never seen', () => {
+  // The record named it for 2.5 s only.
+  it.each([0, 3_000])(
+    'is known to an owner that takes over %i ms later',
+    async ms => {
+      const name = listDeputies()[0]!;
+      let promotedAt = Infinity;
+      fleet.group.onPromoted = () => {
+        promotedAt = fleet.runtime.now();
+      };
+      separateEndpoints();
+      hide(
+        PROMOTED,
+        listHosts().filter(host => host !== owner),
+      );
+      breakConns(owner, OLD);
+      expect(await waitForPromotion(3_000)).toBe(true);
+      breakConns(owner, PROMOTED);
+      breakConns(owner, OTHER);
+      await fleet.passTime(fleet.group.promotionMs + ms);
+      expect(promotedAt).toBeLessThan(Infinity);
+      fleet.kill(owner);
+      await writeFor(WRITE_MS, name);
+      checkOldPrimaryUnused(promotedAt);
+      expect(await fleet.write(name)).toMatchObject({type: 'done'});
+    },
+  );
+
+  it('is known to an owner that finds the old primary late', async () => {
+    const name = listDeputies()[0]!;
+    const promotedAt = await promoteUnseen();
+    const others = listHosts().filter(host => host !== owner);
+    [OLD, OTHER].forEach(id => {
+      fleet.group.get(id).reset();
+      hide(id, others);
+    });
+    await fleet.passTime(6_000);
+    others.forEach(fleet.heal);
+    hide(PROMOTED, others);
+    await writeFor(WRITE_MS, name);
+    checkOldPrimaryUnused(promotedAt);
+    expect(await fleet.write(name)).toMatchObject({type: 'done'});
+  });
+});
--- a/packages/pooler/src/owner/members.ts
+++ b/packages/pooler/src/owner/members.ts
@@ -191,7 +191,7 @@
 /** Returns what the next owner has to know; null before a primary is known. */
 export function readLineage(pool: Pool): GroupLineage | null {
   const known = pool.cfg.lineage;
-  const {primary, calls} = pool.read();
+  const {primary, calls, suspects} = pool.read();
   if (known === null && primary === null && calls.length === 0) {
     return null;
   }
@@ -204,6 +204,6 @@
         ...(endedAt !== null && ackedBefore !== null && {ackedBefore}),
       })),
     term: Math.max(known?.term ?? 0, primary?.term ?? 0),
-    promoting: [...new Set(calls.map(call => call.endpoint))],
+    promoting: [...new Set([...suspects, ...calls.map(call => call.endpoint)])],
   };
 }
--- a/packages/pooler/src/owner/overload.ts
+++ b/packages/pooler/src/owner/overload.ts
@@ -15,7 +15,7 @@
 import type {RefusalReason} from '../model/result.js';
 import {getWorkKindOf} from './capacity.js';
 import {MAX_JOBS} from './limits.js';
-import {hasOpenCalls} from './promotion_calls.js';
+import {isPrimaryDoubtful} from './promotion_calls.js';
 import type {Job, Pool} from './state.js';
 
 /** Usual time from the loss of a primary until the next one serves, in ms. */
@@ -67,7 +67,7 @@
   if (base === null) {
     return {primary: 0, all: 0, outageMs};
   }
-  const isPrimaryServing = promotion === null && !hasOpenCalls(pool);
+  const isPrimaryServing = promotion === null && !isPrimaryDoubtful(pool);
   const slots = {primary: 0, all: 0};
   for (const {entry, downSince} of pool.endpoints.list()) {
     const isPrimary = entry.id === primary?.endpoint;
--- a/packages/pooler/src/owner/promotion.ts
+++ b/packages/pooler/src/owner/promotion.ts
@@ -16,7 +16,9 @@
 import {countReportsNeeded, removeMembersLeftBy} from './members.js';
 import {
   cancelCalls,
+  clearSuspects,
   hasOpenCalls,
+  isPrimaryDoubtful,
   mayHavePromoted,
   removeSettledCalls,
 } from './promotion_calls.js';
@@ -82,7 +84,7 @@
   if (primary === null) {
     return hasNoPrimary(pool) ? 'no_primary' : null;
   }
-  if (hasOpenCalls(pool)) {
+  if (isPrimaryDoubtful(pool)) {
     return 'requested';
   }
   const state = pool.endpoints.get(primary.endpoint);
@@ -182,7 +184,6 @@
       startedAt: now,
       drainDeadline: now + DRAIN_TIMEOUT_MS,
       candidate: null,
-      called: pool.read().calls.map(({endpoint}) => endpoint),
       waitReason: null,
       nextAt: now,
     },
@@ -264,14 +265,14 @@
     RECOVERABLE_REASONS.has(promotion.reason) &&
     !hasOpenCalls(pool) &&
     isPrimaryUp;
-  if (hasRecovered && mayHavePromoted(pool, promotion)) {
+  if (hasRecovered && mayHavePromoted(pool)) {
     if (!state.isSettling) {
       confirmPrimary(pool, promotion);
     }
     return;
   }
   if (hasRecovered) {
-    pool.update({promotion: null});
+    pool.update({promotion: null, suspects: []});
     pool.cfg.ports.record('info', 'promotion_dropped', {
       group: pool.cfg.group,
       reason: 'the primary answers again',
@@ -370,6 +371,7 @@
 /** Starts or continues a change of primary while this host holds the lease. */
 export function advancePromotion(pool: Pool): void {
   removeSettledCalls(pool);
+  clearSuspects(pool);
   const {promotion, isHandingOver, isSettling} = pool.read();
   if (!pool.cfg.isLeaseValid()) {
     cancelCalls(pool);
--- a/packages/pooler/src/owner/promotion_calls.ts
+++ b/packages/pooler/src/owner/promotion_calls.ts
@@ -11,7 +11,7 @@
   PROMOTE_TIMEOUT_MS,
   STATUS_TIMEOUT_MS,
 } from './limits.js';
-import type {Pool, Promotion, PromotionCall} from './state.js';
+import type {Pool, PromotionCall} from './state.js';
 
 /** Returns whether a requested promotion may still take effect. */
 export function hasOpenCalls(pool: Pool): boolean {
@@ -73,12 +73,16 @@
   pool.update({calls});
 }
 
-/** Returns whether an endpoint has just reported that it is a replica. */
+/**
+ * Returns whether an endpoint has just reported that it is a replica, and knows
+ * of no newer primary.
+ */
 function isSeenAsReplica(pool: Pool, endpoint: EndpointId): boolean {
   const state = pool.endpoints.get(endpoint);
   return (
     state !== undefined &&
     state.status?.role === 'replica' &&
+    state.status.term <= (pool.read().primary?.term ?? Infinity) &&
     state.downSince === null &&
     pool.now() - (state.statusRequestedAt ?? -Infinity) < STATUS_TIMEOUT_MS
   );
@@ -88,16 +92,46 @@
  * Returns whether another endpoint may have been promoted unseen. One that still
  * reports that it is a replica was not.
  */
-export function mayHavePromoted(pool: Pool, {called}: Promotion): boolean {
-  const primary = pool.read().primary?.endpoint;
-  const suspects = called.includes(UNKNOWN_ENDPOINT)
+export function mayHavePromoted(pool: Pool): boolean {
+  const {primary, suspects} = pool.read();
+  const endpoints = suspects.includes(UNKNOWN_ENDPOINT)
     ? pool.members.list().map(({endpoint}) => endpoint)
-    : called;
-  return suspects.some(
-    endpoint => endpoint !== primary && !isSeenAsReplica(pool, endpoint),
+    : suspects;
+  return endpoints.some(
+    endpoint =>
+      endpoint !== primary?.endpoint && !isSeenAsReplica(pool, endpoint),
   );
 }
 
+/**
+ * Returns whether a requested promotion may take effect, or may have done so
+ * unseen: the known primary may then not acknowledge commits.
+ */
+export function isPrimaryDoubtful(pool: Pool): boolean {
+  return hasOpenCalls(pool) || pool.read().suspects.length > 0;
+}
+
+/** Forgets the suspects once all are seen not to have been promoted. */
+export function clearSuspects(pool: Pool): void {
+  const {primary, suspects} = pool.read();
+  const isDecided =
+    primary !== null && !hasOpenCalls(pool) && !mayHavePromoted(pool);
+  if (suspects.length > 0 && isDecided) {
+    pool.update({suspects: []});
+    pool.wake();
+  }
+}
+
+/**
+ * Forgets an endpoint that leads a newer term, and those whose promotion was
+ * requested before: theirs would have been of an earlier term.
+ */
+export function removeSuspectsUpTo(pool: Pool, endpoint: EndpointId): void {
+  const {suspects} = pool.read();
+  const index = suspects.indexOf(endpoint);
+  pool.update({suspects: suspects.slice(index + 1)});
+}
+
 /** Removes requests that are too old to take effect. */
 export function removeSettledCalls(pool: Pool): void {
   const {calls} = pool.read();
--- a/packages/pooler/src/owner/promotion_request.ts
+++ b/packages/pooler/src/owner/promotion_request.ts
@@ -126,13 +126,13 @@
   endpoint: EndpointId,
   result: PromoteResult['type'],
 ): void {
-  const {primary, promotion} = pool.read();
-  const called = promotion?.called ?? [];
+  const {primary, suspects} = pool.read();
   if (primary?.endpoint !== endpoint) {
-    updatePromotion(pool, {called: [...new Set([...called, endpoint])]});
+    const earlier = suspects.filter(id => id !== endpoint);
+    pool.update({suspects: [...earlier, endpoint]});
     return;
   }
   if (result === 'accepted') {
-    updatePromotion(pool, {called: []});
+    pool.update({suspects: []});
   }
 }
--- a/packages/pooler/src/owner/state.ts
+++ b/packages/pooler/src/owner/state.ts
@@ -179,8 +179,6 @@
   readonly startedAt: Instant;
   readonly drainDeadline: Instant;
   readonly candidate: EndpointId | null;
-  /** Endpoints whose promotion may have taken effect, seen or not. */
-  readonly called: readonly EndpointId[];
   /** The last recorded reason for which no promotion is requested. */
   readonly waitReason: WaitReason | null;
   /** When the next step is due. */
@@ -193,6 +191,11 @@
   readonly promotion: Promotion | null;
   /** Until these are settled, no other endpoint may acknowledge commits. */
   readonly calls: readonly PromotionCall[];
+  /**
+   * Endpoints whose promotion was requested, in this order, and that may lead
+   * unseen; also after the request is settled.
+   */
+  readonly suspects: readonly EndpointId[];
   /** No promotion is requested: the group is about to be handed over. */
   readonly isSettling: boolean;
   /** Covers every commit acknowledged before the first of `commits`. */
@@ -271,6 +274,7 @@
     primary: null,
     promotion: null,
     calls: [],
+    suspects: cfg.lineage?.promoting ?? [],
     isSettling: false,
     base: null,
     commits: [],
--- a/packages/pooler/src/owner/status.ts
+++ b/packages/pooler/src/owner/status.ts
@@ -14,7 +14,7 @@
 import {recordProbe} from './capacity.js';
 import type {Records} from '../records.js';
 import {createConnLostHandler, closeTx} from './jobs.js';
-import {closeCallsOf} from './promotion_calls.js';
+import {closeCallsOf, removeSuspectsUpTo} from './promotion_calls.js';
 import {dropConn} from './connections.js';
 import {
   BUSY_BACKOFF_MS,
@@ -97,6 +97,7 @@
   // A request of an earlier owner took effect only if the term is new.
   if (isTermNew) {
     closeCallsOf(pool, primary.endpoint);
+    removeSuspectsUpTo(pool, primary.endpoint);
   }
   pool.update({
     primary,
--- a/packages/pooler/src/owner/views.ts
+++ b/packages/pooler/src/owner/views.ts
@@ -6,7 +6,7 @@
 import type {WorkspaceId} from '../model/directory.js';
 import {getRunLimit, getWorkKindOf} from './capacity.js';
 import {countAllConns, NO_CONNS} from './connections.js';
-import {hasOpenCalls} from './promotion_calls.js';
+import {isPrimaryDoubtful} from './promotion_calls.js';
 import type {Job, Pool} from './state.js';
 
 /** The state of an endpoint for placement, with its pinned connections. */
@@ -35,7 +35,7 @@
 /** Returns the current state of all endpoints. */
 export function createEndpointViews(pool: Pool): readonly PoolView[] {
   const {primary, promotion} = pool.read();
-  const isPrimaryServing = promotion === null && !hasOpenCalls(pool);
+  const isPrimaryServing = promotion === null && !isPrimaryDoubtful(pool);
   const counts = countAllConns(pool);
   return pool.endpoints.list().map(state => {
     const {entry, status} = state;
