Take a connection for reset only after the endpoint has confirmed it

Cause: the check of an idle connection forgot the values and prepared statements when it sent RESET, and did not look at the reply. Ruled out: a statement that overtook its SET, and the reset before a statement, which closes the connection on an error.

Change: the state counts as cleared once the reset is confirmed. An error that means that nothing was run leaves the connection in use with the values that it has; the next check resets it again. Any other error closes it. Event conn_not_reset.

--- a/packages/pooler/src/__tests__/fake_group.ts
+++ b/packages/pooler/src/__tests__/fake_group.ts
@@ -14,6 +14,9 @@
 const HANDSHAKE_MS = 12;
 const NETWORK_DELAY_MS = 1;
 
+/** Faults of commands that an endpoint has run. */
+const RAN_FAULTS: ReadonlySet<EndpointFault> = new Set(['failed', 'timed_out']);
+
 /** A statement that an endpoint executed. */
 export interface ExecutedStatement {
   readonly at: number;
@@ -26,6 +29,8 @@
   readonly workspace: string | null;
   /** The prepared shape that it executed, or null. */
   readonly shape: string | null;
+  /** The session values of the connection. */
+  readonly values: Readonly<Record<string, string>>;
 }
 
 /** A commit that a replica has to receive before it is acknowledged. */
@@ -65,6 +70,8 @@
   statements: number;
   /** Faults with which the next statements fail, in order. */
   faults: EndpointFault[];
+  /** Faults with which the pool's next commands of a type fail, in order. */
+  commandFaults: Map<EndpointCommand['type'], EndpointFault[]>;
   conns: number;
   /** Connections that it accepts. */
   maxConns: number;
@@ -145,6 +152,7 @@
       failEveryNth: 0,
       statements: 0,
       faults: [],
+      commandFaults: new Map(),
       conns: 0,
       maxConns: Infinity,
       refusedConns: 0,
@@ -280,6 +288,7 @@
     let hasWritten = false;
     let lastWrite = '';
     const prepared = new Map<string, string>();
+    const values = new Map<string, string>();
     endpoint.conns++;
     const schedule = (ms: number, fn: () => void): void => {
       runtime.at(runtime.now() + ms, () => {
@@ -324,6 +333,13 @@
       if (fault !== undefined) {
         return error(fault);
       }
+      const commandFault =
+        request === null
+          ? endpoint.commandFaults.get(command.type)?.shift()
+          : undefined;
+      if (commandFault !== undefined && !RAN_FAULTS.has(commandFault)) {
+        return error(commandFault);
+      }
       if (request !== null && endpoint.failEveryNth > 0) {
         endpoint.statements++;
         if (endpoint.statements % endpoint.failEveryNth === 0) {
@@ -350,10 +366,17 @@
       }
       if (command.type === 'reset') {
         prepared.clear();
+        values.clear();
+      }
+      if (command.type === 'set') {
+        values.set(command.name, command.value);
       }
       if (command.type === 'prepare') {
         prepared.set(command.name, command.shape);
       }
+      if (commandFault !== undefined) {
+        return error(commandFault);
+      }
       const shape =
         command.type === 'execute' ? prepared.get(command.name) : null;
       if (shape === undefined) {
@@ -385,6 +408,7 @@
           term: endpoint.term,
           workspace,
           shape,
+          values: Object.fromEntries(values),
         });
       }
       hasWritten ||= isWrite;
--- a/packages/pooler/src/owner/connections.ts
+++ b/packages/pooler/src/owner/connections.ts
@@ -215,18 +215,43 @@
   return best;
 }
 
+/** Faults of a reset that leave the session state as it was. */
+const UNCHANGED_FAULTS: ReadonlySet<EndpointFault> = new Set([
+  'busy',
+  'not_prepared',
+  'lagging',
+  'read_only',
+]);
+
 /**
  * Checks that an idle connection still replies; also resets its session state.
+ * That is known to be clear only once the endpoint has confirmed the reset. A
+ * reset that was not run is repeated with the next check.
  */
-function checkIdle(pool: Pool, conn: Conn): void {
-  pool.conns.update(conn.id, {
-    replyDeadline: pool.now() + CHECK_TIMEOUT_MS,
-    values: new Map(),
-    prepared: new Map(),
-  });
-  conn.link.send({type: 'reset'}, null, null, () => {
+function checkIdle(pool: Pool, conn: Conn, onLost: OnConnLost): void {
+  pool.conns.update(conn.id, {replyDeadline: pool.now() + CHECK_TIMEOUT_MS});
+  conn.link.send({type: 'reset'}, null, null, reply => {
     markUp(pool, conn.endpoint);
-    pool.conns.update(conn.id, {replyDeadline: null, idleSince: pool.now()});
+    if (reply.type === 'error') {
+      pool.cfg.ports.record('info', 'conn_not_reset', {
+        group: pool.cfg.group,
+        endpoint: conn.endpoint,
+        conn: conn.id,
+        detail: reply.fault,
+        values: conn.values.size,
+        prepared: conn.prepared.size,
+      });
+      if (!UNCHANGED_FAULTS.has(reply.fault)) {
+        const detail = `a reset failed: ${reply.fault}`;
+        dropConn(pool, pool.conns.get(conn.id) ?? conn, detail, onLost);
+        return;
+      }
+    }
+    pool.conns.update(conn.id, {
+      replyDeadline: null,
+      idleSince: pool.now(),
+      ...(reply.type === 'done' && {values: new Map(), prepared: new Map()}),
+    });
     pool.wake();
   });
 }
@@ -290,7 +315,7 @@
     if (idleMs >= IDLE_CLOSE_MS && freeCount >= getSlotLimit(state)) {
       dropConn(pool, conn, 'idle for too long', onLost);
     } else if (idleMs >= getIdleCheckMs(state, free)) {
-      checkIdle(pool, conn);
+      checkIdle(pool, conn, onLost);
     }
   }
 }
