Start at most one write of the record per promotion request

While the store gave no answers, each request for a promotion, every 300 ms, queued another write of the record behind the one under way; after an outage the queue was written out one by one. A request now starts its write once none is under way, and the regular renewal repeats it.

--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -352,15 +352,15 @@
     }
   };
 
-  /** Writes the lineage of an owned group to its record now. */
-  const saveLineage = async (group: GroupId): Promise<void> => {
-    while (getState(group).isWriting) {
-      await waitUntil(runtime, runtime.now() + RELEASE_POLL_MS);
-    }
+  /** Starts to write the lineage of an owned group, if no write is under way. */
+  const saveLineage = (group: GroupId): boolean => {
     const state = getState(group);
-    if (state.lease !== null && state.stored !== null && !state.isReleasing) {
-      await writeRenewal(state, state.stored.ownership.deputies);
+    const {stored, lease, isWriting, isReleasing} = state;
+    const canWrite = lease !== null && !isWriting && !isReleasing;
+    if (stored !== null && canWrite) {
+      void writeRenewal(state, stored.ownership.deputies);
     }
+    return canWrite;
   };
 
   const asks = createLeaseAsks({
--- a/packages/pooler/src/ownership/promotion_reports.ts
+++ b/packages/pooler/src/ownership/promotion_reports.ts
@@ -41,8 +41,11 @@
   readonly readNote: LeaseAsks['readNote'];
   /** Sends the requests for promises, which carry the promotions, now. */
   readonly askDeputies: (state: RecordState) => void;
-  /** Writes the record with the promotions. */
-  readonly saveLineage: (group: GroupId) => Promise<void>;
+  /**
+   * Starts to write the record with the promotions; returns false while another
+   * write is under way.
+   */
+  readonly saveLineage: (group: GroupId) => boolean;
   /** Called when the deputies have reported to a restarted owner. */
   readonly onReported: (group: GroupId) => void;
 }
@@ -119,8 +122,9 @@
         return null;
       }
       cfg.askDeputies(getState(group));
-      void cfg.saveLineage(group);
+      let isSaved = false;
       while (runtime.now() < deadline) {
+        isSaved ||= cfg.saveLineage(group);
         const keeper = findKeeper(getState(group), endpoint, since);
         if (keeper !== null || getState(group).lease === null) {
           return keeper;
