Let the deputies note the newest term beside the requested promotions

Once an owner had seen the promoted endpoint lead, only the newest term in the record kept the old primary out. During an outage of the store the record lacks it: an owner that promoted, used the new primary for a second and ended left nothing, and the next one, which did not see the new primary, used the old one. Found by reading; the same was so before the deputies noted promotions.

Change: requests for promises carry the newest term that the owner has used. A claim takes the highest that the record or a deputy names. A record without members does not count as one of all members.

--- a/packages/pooler/src/__tests__/unit/message_check.test.ts
+++ b/packages/pooler/src/__tests__/unit/message_check.test.ts
@@ -41,6 +41,7 @@
     promoting: ['i-2'],
   },
 };
+const PROMOTIONS = {promoting: ['i-1'], term: 1};
 const MESSAGES: readonly PoolMessage[] = [
   RUN,
   {...RUN, tx: null, position: null, statement: {type: 'commit'}},
@@ -58,7 +59,7 @@
     generation: 1,
     revision: 1,
     ask: 1,
-    promoting: ['i-1'],
+    promotions: PROMOTIONS,
   },
   {type: 'lease_grant', group: GROUP, generation: 1, ask: 1, isGranted: true},
   {
@@ -71,9 +72,9 @@
   },
   {type: 'consent_ask', group: GROUP, revision: 1},
   {type: 'consent', group: GROUP, revision: 1},
-  {type: 'consent', group: GROUP, revision: 1, promoting: ['i-1']},
+  {type: 'consent', group: GROUP, revision: 1, promotions: PROMOTIONS},
   {type: 'promotion_ask', group: GROUP, generation: 1},
-  {type: 'promotion_report', group: GROUP, generation: 1, promoting: null},
+  {type: 'promotion_report', group: GROUP, generation: 1, promotions: null},
   {type: 'owner_state', group: GROUP, generation: 1, isActive: false},
   {type: 'record', stored: {revision: 1, ownership: OWNERSHIP}},
   {type: 'table_ask', ask: 1, version: null},
@@ -97,9 +98,9 @@
   'run.workspace',
   'run.keyDigest',
   'run.tableVersion',
-  'lease_ask.promoting',
+  'lease_ask.promotions',
   'lease_grant.isNoted',
-  'consent.promoting',
+  'consent.promotions',
 ]);
 
 /** Returns copies of a message that each lack or spoil one field. */
--- a/packages/pooler/src/__tests__/unit/unrecorded_promotion.test.ts
+++ b/packages/pooler/src/__tests__/unit/unrecorded_promotion.test.ts
@@ -189,6 +189,29 @@
     },
   );
 
+  // The deputies were told that nothing was requested any more.
+  it('tells the next owner of a primary that it has used', async () => {
+    const name = listDeputies()[0]!;
+    separateEndpoints();
+    hide(
+      PROMOTED,
+      listHosts().filter(host => host !== owner),
+    );
+    breakConns(owner, OLD);
+    expect(await waitForPromotion(3_000)).toBe(true);
+    await fleet.passTime(fleet.group.promotionMs + 1_000);
+    const promotedAt = fleet.runtime.now();
+    fleet.kill(owner);
+    fleet.store.isDown = false;
+    await writeFor(WRITE_MS, name);
+    checkOldPrimaryUnused(promotedAt);
+    // Commits may be acknowledged there: nothing else can lead before it is seen.
+    listHosts().forEach(fleet.heal);
+    fleet.group.catchUp();
+    await writeFor(WRITE_MS, name);
+    expect(await fleet.write(name)).toMatchObject({type: 'done'});
+  });
+
   it('requests no promotion while it reaches no deputy either', async () => {
     listDeputies().forEach(name => fleet.cutPair(owner, name));
     breakConns(owner, OLD);
--- a/packages/pooler/src/decisions/promotion_knowledge.ts
+++ b/packages/pooler/src/decisions/promotion_knowledge.ts
@@ -5,25 +5,29 @@
  * A promotion is requested only after the next owner is certain to learn of it:
  * the record in the store names it, or a majority of the deputies have noted it.
  * Too few deputies are left to consent to a takeover without one of that
- * majority. An owner that takes over without enough reports assumes that any
+ * majority. They note the newest term that the owner has used as well. An owner that takes over without enough reports assumes that any
  * endpoint may have been promoted.
  */
 
 import type {EndpointId, HostId} from '@lacewingroad/core';
 import type {Instant} from '@lacewingroad/runtime';
-import type {GroupLineage, StoredOwnership} from '../model/ownership.js';
+import type {
+  GroupLineage,
+  PromotionLineage,
+  StoredOwnership,
+} from '../model/ownership.js';
 import {UNKNOWN_ENDPOINT} from '../model/ownership.js';
 import {countConsentsNeeded, countPromisesNeeded} from './lease.js';
 import {isCopy} from './store_era.js';
 
-/** Endpoints whose promotion was requested; null if that is not known. */
-export type KnownPromotions = readonly EndpointId[] | null;
+/** What is known of an owner's promotions; null if nothing is known. */
+export type KnownPromotions = PromotionLineage | null;
 
 /** What a deputy has confirmed to the owner that it noted. */
 export interface ConfirmedNote {
   /** When the owner sent it. */
   readonly sentAt: Instant;
-  readonly promoting: readonly EndpointId[];
+  readonly promotions: PromotionLineage;
 }
 
 /** The writes that may have replaced a revision of a record. */
@@ -65,7 +69,7 @@
     return (
       note !== undefined &&
       note.sentAt >= since &&
-      note.promoting.includes(endpoint)
+      note.promotions.promoting.includes(endpoint)
     );
   };
   return (
@@ -92,22 +96,25 @@
 }
 
 /**
- * Returns the lineage that a claim of a record leaves, with the promotions that
- * earlier owners may have requested.
+ * Returns the lineage that a claim of a record leaves, with the newest term and
+ * the promotions that deputies report of earlier owners.
  */
 export function addReportedPromotions(
   lineage: GroupLineage | null,
   reports: ReadonlyMap<HostId, KnownPromotions>,
   areComplete: boolean,
 ): GroupLineage | null {
+  const known = [...reports.values()].filter(report => report !== null);
   const promoting = new Set([
     ...(lineage?.promoting ?? []),
-    ...[...reports.values()].flatMap(report => report ?? []),
+    ...known.flatMap(report => report.promoting),
     ...(areComplete ? [] : [UNKNOWN_ENDPOINT]),
   ]);
-  if (promoting.size === 0) {
-    return lineage;
-  }
-  const known = lineage ?? {members: [], term: 0};
-  return {...known, promoting: [...promoting]};
+  const term = Math.max(
+    lineage?.term ?? 0,
+    ...known.map(report => report.term),
+  );
+  return promoting.size === 0 && term === 0
+    ? lineage
+    : {members: lineage?.members ?? [], term, promoting: [...promoting]};
 }
--- a/packages/pooler/src/model/message.ts
+++ b/packages/pooler/src/model/message.ts
@@ -1,13 +1,8 @@
 /** Messages between hosts. Deadlines are sent as the milliseconds left. */
 
-import type {
-  EndpointId,
-  GroupId,
-  HostId,
-  LogPosition,
-} from '@lacewingroad/core';
+import type {GroupId, HostId, LogPosition} from '@lacewingroad/core';
 import type {Consistency, PackedTable, WorkspaceId} from './directory.js';
-import type {StoredOwnership} from './ownership.js';
+import type {PromotionLineage, StoredOwnership} from './ownership.js';
 import type {RunResult} from './result.js';
 import type {DataStatement, SessionState} from './statement.js';
 
@@ -78,10 +73,10 @@
   /** Number of this request; the answer repeats it. */
   readonly ask: number;
   /**
-   * Endpoints whose promotion the owner has requested and that may take effect
-   * or be unseen. Missing in the messages of hosts of earlier versions.
+   * What the next owner has to know of promotions. Missing in the messages of
+   * hosts of earlier versions.
    */
-  readonly promoting?: readonly EndpointId[] | undefined;
+  readonly promotions?: PromotionLineage | undefined;
 }
 
 /** Answers a LeaseAskMessage; the owner counts a grant from its request. */
@@ -112,13 +107,13 @@
   readonly group: GroupId;
   readonly revision: number;
   /**
-   * Promotions that the owner has told the sender of; null if the owner has told
-   * it nothing since it started. Missing from hosts of earlier versions.
+   * What the owner has told the sender of promotions; null if it has told it
+   * nothing since the sender started. Missing from hosts of earlier versions.
    */
-  readonly promoting?: readonly EndpointId[] | null | undefined;
+  readonly promotions?: PromotionLineage | null | undefined;
 }
 
-/** Asks a deputy which promotions the owner of a generation has requested. */
+/** Asks a deputy what the owner of a generation has told it of promotions. */
 export interface PromotionAskMessage {
   readonly type: 'promotion_ask';
   readonly group: GroupId;
@@ -131,7 +126,7 @@
   readonly group: GroupId;
   readonly generation: number;
   /** Null if the owner has told the sender nothing since it started. */
-  readonly promoting: readonly EndpointId[] | null;
+  readonly promotions: PromotionLineage | null;
 }
 
 /** Passes on a record that was read from or written to the store. */
--- a/packages/pooler/src/model/message_check.ts
+++ b/packages/pooler/src/model/message_check.ts
@@ -52,6 +52,7 @@
 const isPosition = fields({term: isNumber, index: isNumber});
 const isConsistency = oneOf('strict', 'bounded', 'session');
 const isAccess = oneOf('read', 'write');
+const isPromotions = fields({promoting: listOf(isString), term: isNumber});
 const isAddress = fields({host: isString, address: isString});
 
 const isStatement = byType({
@@ -166,7 +167,7 @@
     generation: isNumber,
     revision: isNumber,
     ask: isNumber,
-    promoting: optional(listOf(isString)),
+    promotions: optional(isPromotions),
   }),
   lease_grant: fields({
     group: isString,
@@ -179,13 +180,13 @@
   consent: fields({
     group: isString,
     revision: isNumber,
-    promoting: optional(orNull(listOf(isString))),
+    promotions: optional(orNull(isPromotions)),
   }),
   promotion_ask: fields({group: isString, generation: isNumber}),
   promotion_report: fields({
     group: isString,
     generation: isNumber,
-    promoting: orNull(listOf(isString)),
+    promotions: orNull(isPromotions),
   }),
   record: fields({stored: isStored}),
   owner_state: fields({
--- a/packages/pooler/src/model/ownership.ts
+++ b/packages/pooler/src/model/ownership.ts
@@ -51,6 +51,9 @@
   readonly promoting: readonly EndpointId[];
 }
 
+/** The part of a lineage that changes with each promotion. */
+export type PromotionLineage = Pick<GroupLineage, 'term' | 'promoting'>;
+
 /**
  * Stands for an endpoint that a lineage may lack: one whose log may hold
  * acknowledged commits, or whose promotion may have been requested.
--- a/packages/pooler/src/owner/members.ts
+++ b/packages/pooler/src/owner/members.ts
@@ -181,9 +181,10 @@
   const places = new Set(silent.map(({endpoint}) => endpoint));
   const missing = Math.max(0, places.size - syncReplicas);
   const needed = Math.max(1, reporters.length + missing);
+  const {term = 0, members = []} = pool.cfg.lineage ?? {};
   // Without a record of an owner that knew a primary, others may have left
   // unnoticed.
-  return (pool.cfg.lineage?.term ?? 0) === 0
+  return term === 0 || members.length === 0
     ? Math.max(needed, syncReplicas + 1)
     : needed;
 }
--- a/packages/pooler/src/ownership/lease_asks.ts
+++ b/packages/pooler/src/ownership/lease_asks.ts
@@ -4,11 +4,12 @@
  * keep them for the next owner while the record cannot be written.
  */
 
-import type {EndpointId, GroupId, HostId} from '@lacewingroad/core';
+import type {GroupId, HostId} from '@lacewingroad/core';
 import type {Runtime} from '@lacewingroad/runtime';
 import type {KnownPromotions} from '../decisions/promotion_knowledge.js';
 import {DRIFT_MARGIN_MS, PROMISE_MS} from '../decisions/lease.js';
 import type {LeaseAskMessage, LeaseGrantMessage} from '../model/message.js';
+import type {PromotionLineage} from '../model/ownership.js';
 import type {HostPorts} from '../ports.js';
 import type {Records} from '../records.js';
 import type {RecordState} from './record_state.js';
@@ -19,8 +20,8 @@
   readonly send: HostPorts['send'];
   readonly records: Records<GroupId, RecordState>;
   readonly getState: (group: GroupId) => RecordState;
-  /** Returns the promotions that this host has requested as the owner. */
-  readonly readPromoting: (group: GroupId) => readonly EndpointId[];
+  /** Returns what this host, as the owner, knows of promotions. */
+  readonly readPromotions: (group: GroupId) => PromotionLineage;
   /** Returns the newest revision in the first complete list of records. */
   readonly readInitialRevision: () => number;
 }
@@ -40,38 +41,38 @@
   const {runtime, records, getState} = cfg;
   let nextAsk = 1;
 
-  /** Keeps what the newest request of an owner says of its promotions. */
+  /** Keeps what the newest request of an owner says of promotions. */
   const keepNote = (msg: LeaseAskMessage): void => {
-    const {group, generation, ask, promoting} = msg;
+    const {group, generation, ask} = msg;
     const {note} = getState(group);
     const isNewer =
       note === null ||
       generation > note.generation ||
       (generation === note.generation && ask > note.ask);
     if (isNewer) {
-      const known = promoting ?? null;
-      records.update(group, {note: {generation, ask, promoting: known}});
+      const promotions = msg.promotions ?? null;
+      records.update(group, {note: {generation, ask, promotions}});
     }
   };
 
   return {
     send: ({group, stored, lease, asks, nextDeputies}) => {
       const now = runtime.now();
-      const promoting = cfg.readPromoting(group);
+      const promotions = cfg.readPromotions(group);
       const open = new Map(
         [...asks].filter(([, {sentAt}]) => now - sentAt < PROMISE_MS),
       );
       const asked = [...lease!.deputySets.flat(), ...nextDeputies];
       for (const host of new Set(asked)) {
         const ask = nextAsk++;
-        open.set(ask, {host, sentAt: now, promoting});
+        open.set(ask, {host, sentAt: now, promotions});
         cfg.send(host, {
           type: 'lease_ask',
           group,
           generation: stored!.ownership.generation,
           revision: stored!.revision,
           ask,
-          promoting,
+          promotions,
         });
       }
       records.update(group, {asks: open, askedAt: now});
@@ -115,18 +116,18 @@
       if (!isValidGrant) {
         return;
       }
-      const {sentAt, promoting} = asked;
+      const {sentAt, promotions} = asked;
       const grants = new Map(lease.grants).set(host, sentAt);
       records.update(group, {lease: {...lease, grants}});
       if (msg.isNoted === true) {
-        const note = {sentAt, promoting};
+        const note = {sentAt, promotions};
         const notes = new Map(confirmedNotes).set(host, note);
         records.update(group, {confirmedNotes: notes});
       }
     },
     readNote: (group, generation) => {
       const {note} = getState(group);
-      return note?.generation === generation ? note.promoting : null;
+      return note?.generation === generation ? note.promotions : null;
     },
   };
 }
--- a/packages/pooler/src/ownership/ownership_controller.ts
+++ b/packages/pooler/src/ownership/ownership_controller.ts
@@ -46,6 +46,7 @@
   findInheritedLineage,
   findLineage,
   isLineageOutdated,
+  readPromotions,
 } from './record_lineage.js';
 import {createReceivedRecords} from './received_records.js';
 import type {ReceivedRecords} from './received_records.js';
@@ -368,7 +369,7 @@
     send,
     records,
     getState,
-    readPromoting: group => cfg.readLineage(group)?.promoting ?? [],
+    readPromotions: group => readPromotions(cfg.readLineage(group)),
     readInitialRevision: () => initialRevision,
   });
 
@@ -780,10 +781,9 @@
     },
     lease_grant: asks.handleGrant,
     promotion_ask: reports.handleAsk,
-    promotion_report: (host, {group, generation, promoting}) => {
-      const known = getState(group).stored?.ownership;
-      if (known?.generation === generation) {
-        reports.put(group, host, promoting);
+    promotion_report: (host, {group, generation, promotions}) => {
+      if (getState(group).stored?.ownership.generation === generation) {
+        reports.put(group, host, promotions);
       }
     },
     consent_ask: (host, {group, revision}) => {
@@ -796,17 +796,17 @@
         return;
       }
       records.update(group, {consentedRevision: revision});
-      const promoting = reports.readOwn(state);
-      send(host, {type: 'consent', group, revision, promoting});
+      const promotions = reports.readOwn(state);
+      send(host, {type: 'consent', group, revision, promotions});
     },
-    consent: (host, {group, revision, promoting}) => {
+    consent: (host, {group, revision, promotions}) => {
       const {stored, consents} = getState(group);
       const isDeputy =
         stored?.revision === revision &&
         listDeputies(stored.ownership).includes(host);
       if (isDeputy) {
         records.update(group, {consents: new Set(consents).add(host)});
-        reports.put(group, host, promoting);
+        reports.put(group, host, promotions);
         claimWithConsents(group);
       }
     },
--- a/packages/pooler/src/ownership/promotion_reports.ts
+++ b/packages/pooler/src/ownership/promotion_reports.ts
@@ -67,7 +67,7 @@
   readonly put: (
     group: GroupId,
     host: HostId,
-    promoting: KnownPromotions | undefined,
+    promotions: KnownPromotions | undefined,
   ) => void;
   /**
    * Returns whether a restarted owner may claim its group; asks the deputies for
@@ -135,9 +135,9 @@
     },
     readOwn: ({group, stored}) =>
       cfg.readNote(group, stored!.ownership.generation),
-    put: (group, host, promoting) => {
+    put: (group, host, promotions) => {
       const reports = new Map(getState(group).reports);
-      reports.set(host, promoting ?? null);
+      reports.set(host, promotions ?? null);
       records.update(group, {reports});
       const {stored, reportsAskedAt} = getState(group);
       const isAwaited = stored !== null && reportsAskedAt !== null;
@@ -167,8 +167,8 @@
       return false;
     },
     handleAsk: (host, {group, generation}) => {
-      const promoting = cfg.readNote(group, generation);
-      cfg.send(host, {type: 'promotion_report', group, generation, promoting});
+      const promotions = cfg.readNote(group, generation);
+      cfg.send(host, {type: 'promotion_report', group, generation, promotions});
     },
     addTo: (lineage, {stored, reports}, era) => {
       const deputies = listDeputies(stored!);
--- a/packages/pooler/src/ownership/record_lineage.ts
+++ b/packages/pooler/src/ownership/record_lineage.ts
@@ -7,6 +7,7 @@
   EndpointRun,
   GroupLineage,
   Ownership,
+  PromotionLineage,
   StoredOwnership,
 } from '../model/ownership.js';
 
@@ -19,6 +20,11 @@
 /** Reads what a pool knows of its endpoints; null if no more than the record. */
 export type ReadLineage = (group: GroupId) => GroupLineage | null;
 
+/** Returns the part of a lineage that deputies note. */
+export function readPromotions(lineage: GroupLineage | null): PromotionLineage {
+  return {promoting: lineage?.promoting ?? [], term: lineage?.term ?? 0};
+}
+
 /** Returns the lineage that the next record of an owned group should hold. */
 export function findLineage(
   readLineage: ReadLineage,
--- a/packages/pooler/src/ownership/record_state.ts
+++ b/packages/pooler/src/ownership/record_state.ts
@@ -1,13 +1,13 @@
 /** What a host knows about the record of one group. */
 
-import type {EndpointId, GroupId, HostId} from '@lacewingroad/core';
+import type {GroupId, HostId} from '@lacewingroad/core';
 import type {Instant} from '@lacewingroad/runtime';
 import type {HeldLease} from '../decisions/lease.js';
 import type {
   ConfirmedNote,
   KnownPromotions,
 } from '../decisions/promotion_knowledge.js';
-import type {StoredOwnership} from '../model/ownership.js';
+import type {PromotionLineage, StoredOwnership} from '../model/ownership.js';
 
 /** The writes that may have replaced one revision of a record. */
 export interface PendingWrites {
@@ -23,14 +23,14 @@
   readonly generation: number;
   /** Number of the owner's request that said so. */
   readonly ask: number;
-  readonly promoting: KnownPromotions;
+  readonly promotions: KnownPromotions;
 }
 
 /** A request for a promise that was sent to a deputy. */
 export interface SentAsk {
   readonly host: HostId;
   readonly sentAt: Instant;
-  readonly promoting: readonly EndpointId[];
+  readonly promotions: PromotionLineage;
 }
 
 /** What the controller knows about a group's record. */
