--- a/packages/pooler/src/__tests__/unit/group_pool.test.ts
+++ b/packages/pooler/src/__tests__/unit/group_pool.test.ts
@@ -6,6 +6,7 @@
 import type {RunMessage, TxRef} from '../../model/message.js';
 import type {EndpointRun, GroupLineage} from '../../model/ownership.js';
 import type {RunResult} from '../../model/result.js';
+import type {EndpointFault} from '../../model/statement.js';
 import type {AllowanceGate} from '../../owner/allowance_gate.js';
 import {createGroupPool} from '../../owner/group_pool.js';
 import type {GroupPool} from '../../owner/group_pool.js';
@@ -823,6 +824,83 @@
     });
   });
 
+  // Review case 7: the next client's reads ran with the values of one that had
+  // left, or would have run a prepared name that the endpoint had lost.
+  describe('whose endpoints fail the reset of an idle connection', () => {
+    /** Longer than the time after which an idle connection is reset, in ms. */
+    const IDLE_MS = 3_500;
+
+    /** Runs the reads of several sessions at once; checks their values. */
+    async function readAll(
+      values: Readonly<Record<string, string>>,
+      parts: Partial<RunMessage> = {},
+    ): Promise<void> {
+      const session = {values: Object.entries(values)};
+      const requests = Array.from({length: 12}, () =>
+        send({consistency: 'bounded', session, ...parts}),
+      );
+      await advanceTime(300);
+      for (const request of requests) {
+        expect(results.get(request)).toMatchObject({type: 'done'});
+        const ran = group.ran.filter(entry => entry.request === request);
+        expect(ran.map(entry => entry.values)).toEqual([values]);
+      }
+    }
+
+    function failResets(fault: EndpointFault, count: number): void {
+      for (const {commandFaults} of group.endpoints.values()) {
+        const faults = Array.from({length: count}, () => fault);
+        commandFaults.set('reset', faults);
+      }
+    }
+
+    const countConns = (): number =>
+      new Set(group.commands.map(({conn}) => conn)).size;
+
+    it.each(['busy', 'failed', 'timed_out', 'aborted', 'other'] as const)(
+      'runs no statement with foreign values after %s',
+      async fault => {
+        await readAll({region: 'north'});
+        failResets(fault, 8);
+        await advanceTime(IDLE_MS);
+        await readAll({});
+        await readAll({region: 'south'});
+        await readAll({});
+      },
+    );
+
+    it.each(['busy', 'failed', 'other'] as const)(
+      'runs the prepared shape after %s',
+      async fault => {
+        const statement = {
+          type: 'execute',
+          access: 'read',
+          name: 's1',
+          shape: 'q2c',
+          args: 'x',
+        } as const;
+        await readAll({}, {statement});
+        failResets(fault, 8);
+        await advanceTime(IDLE_MS);
+        await readAll({}, {statement});
+        expect(new Set(group.ran.map(({shape}) => shape)).size).toBe(1);
+      },
+    );
+
+    // A connection that is opened again occupies a slot of its endpoint.
+    it('keeps a connection after busy, and resets it later', async () => {
+      await readAll({region: 'north'});
+      failResets('busy', 1);
+      const before = countConns();
+      await advanceTime(2 * IDLE_MS);
+      const sent = group.commands.length;
+      await readAll({});
+      expect(countConns()).toBe(before);
+      const types = group.commands.slice(sent).map(({type}) => type);
+      expect(types).not.toContain('reset');
+    });
+  });
+
   it('reports unknown for a write whose connection is reset, and runs it once', async () => {
     group.get('ledger-1').executionMs = 30;
     const write = send({statement: WRITE});
--- a/packages/pooler/src/decisions/promotion_knowledge.ts
+++ b/packages/pooler/src/decisions/promotion_knowledge.ts
@@ -5,8 +5,9 @@
  * A promotion is requested only after the next owner is certain to learn of it:
  * the record in the store names it, or a majority of the deputies have noted it.
  * Too few deputies are left to consent to a takeover without one of that
- * majority. They note the newest term that the owner has used as well. An owner that takes over without enough reports assumes that any
- * endpoint may have been promoted.
+ * majority. They note the newest term that the owner has used as well. An owner
+ * that takes over without enough reports assumes that any endpoint may have been
+ * promoted.
  */
 
 import type {EndpointId, HostId} from '@lacewingroad/core';
