--- a/review/lib-3/large_texts.mjs
+++ b/review/lib-3/large_texts.mjs
@@ -32,7 +32,12 @@
  * one operation in a session and returns the last answer. Resolves to the exit
  * code of the case.
  */
-export async function playLargeTexts(recordPath, clients, runOperation) {
+export async function playLargeTexts(
+  recordPath,
+  clients,
+  runOperation,
+  databases = DATABASES,
+) {
   const log = createRecord(recordPath);
   const counts = {answered: 0, refused: 0, closed: 0};
   const deployment = await startDeployment({
@@ -96,7 +101,7 @@
   };
 
   const plays = hosts.flatMap(host =>
-    DATABASES.flatMap(database =>
+    databases.flatMap(database =>
       Array.from({length: clients}, () => play(host, database)),
     ),
   );
